--- /dev/null
+++ b/src/control.cpp
@@ -0,0 +1,559 @@
+// The decisions of heronworks, all of them.
+//
+// How to call it: build a Control with the settings of one scheduler and a Host, then call one method for each
+// thing that happens, with the time in seconds. It acts by calling the Host before it returns. Interface:
+// control.h; settings.h and state.h hold the plain types. docs/design.md says why, docs/on-call.md what one sees.
+#include "control.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace heronworks {
+namespace {
+
+// From the paper.
+constexpr double kPeriod = 1.0;         // s between two moves of a gear
+constexpr double kPromoteAbove = 0.95;  // part of the cap slice that arrivals must exceed
+
+// Starting values of the design page.
+constexpr double kThreshold = 0.8;    // load from which a node counts as loaded
+constexpr double kTopGears = 8;       // top cap without a limit, in gear 0s
+constexpr double kAimPart = 0.5;      // part of the tightest contract time that units out may fill
+constexpr int kLeastOut = 4;          // transactions that may always be out at a node
+constexpr int kMostOut = 32;          // transactions out at a node, whatever it manages
+constexpr int kFlushPeriods = 4;      // shorter rises of latency are flush pauses, not load
+
+// Ours.
+constexpr double kBucketReplies = 3;     // replies that a mean needs, so that one large reply does not make it
+constexpr double kBestDrift = 1.01;      // a bucket: best latency is forgotten slowly, as nodes change for good
+constexpr double kKeep = 0.7;            // a second: what is kept of a volume's told and own service
+constexpr double kRateKeep = 0.7;        // a second: what is kept of the learned rate while the bound is reached
+constexpr double kSweep = 0.01;          // s between two looks at what is held
+constexpr double kAnswerMargin = 0.03;   // s before the cut-off at which a held transaction is answered
+constexpr double kLeastSlack = 0.05;     // s: transactions closer than this to their contract time are equal
+constexpr double kSilentAfter = 1.0;     // s without any reply while dispatches are out
+constexpr double kTrialEvery = 0.5;      // s between two trials of a silent node
+constexpr double kAgainPause = 0.03;     // s before a further dispatch, times the dispatches so far
+constexpr double kAgainFloor = 0.1;      // least chance of a further dispatch, so that health is found again
+constexpr double kAgainGain = 0.1;       // weight of the newest further dispatch
+constexpr double kTurnTime = 1.25;       // turn at a cold node, in fall times; a window meets one turn only
+constexpr double kTurnPart = 0.2;        // part of the fall time in which the scheduler in turn sends
+constexpr int kBudgetSlots = 20;         // parts of the budget's window
+constexpr double kAskFirst = 0.5;        // s before a failed call for the list is made again, doubling
+constexpr double kAskMost = 6.0;         // s between calls at most
+constexpr double kNever = std::numeric_limits<double>::infinity();
+
+std::size_t at(int index) { return static_cast<std::size_t>(index); }
+
+}  // namespace
+
+Control::Control(Settings settings, Host& host, double now)
+    : settings_(std::move(settings)),
+      host_(host),
+      random_(static_cast<std::minstd_rand::result_type>(settings_.seed % 2147483647)),
+      started_(now),
+      tightest_(kNever),
+      second_at_(now + kPeriod),
+      ask_at_(kNever),
+      longest_(settings_.profiles.size()),
+      budget_(kBudgetSlots + 1) {
+  for (const Profile& p : settings_.profiles) tightest_ = std::min(tightest_, p.contract);
+  if (settings_.asks_for_list) ask_for_list(now);
+  serve(now);
+}
+
+// ---- What can happen ----
+
+void Control::list_news(double now, Scope scope, const std::vector<Entry>& entries) {
+  if (scope == Scope::kFailed) {
+    // Danger: a list out of reach, or a broken watch, which look alike. Asking again is right for both; the
+    // growing pause keeps schedulers from holding a service down that has just come back.
+    ask_fails_ = std::min(ask_fails_ + 1, 8);
+    const double pause = std::min(kAskMost, kAskFirst * std::pow(2, ask_fails_ - 1));
+    ask_at_ = now + pause * std::uniform_real_distribution(0.75, 1.25)(random_);
+    return;
+  }
+  if (scope != Scope::kSaved) {
+    ask_fails_ = 0;
+    ask_at_ = kNever;
+  }
+  if (scope != Scope::kChanges) {
+    for (Node& node : nodes_) node.listing = Listing::kGone;
+  }
+  for (const Entry& e : entries) {
+    Node& node = node_at(e.node);
+    if (node.listed && e.came_up > node.came_up) {  // a new process: what was learned of the old one is void
+      node.buckets = 0;
+      node.bucket_units = node.bucket_time = 0;
+      node.success = node.again_success = 1;
+    }
+    node.listed = true;
+    node.listing = e.listing;
+    node.zone = e.zone;
+    node.shard = e.shard;
+    node.came_up = e.came_up;
+  }
+  serve(now);
+}
+
+void Control::landed(double now, int id, const Transaction& t) {
+  if (open_.size() <= at(id)) open_.resize(at(id) + 1);
+  Open& o = open_[at(id)];
+  o = Open{};
+  o.used = true;
+  o.t = t;
+  o.landed = now;
+  o.cut_off_at = now + t.time_left;
+  // A client's repeat comes with less time than a first try, and its contract time began with the first.
+  const Profile& profile = settings_.profiles[at(t.profile)];
+  double& longest = longest_[at(t.profile)];
+  longest = std::max(longest, t.time_left);
+  o.contract_at = std::min(now + profile.contract - (longest - t.time_left), o.cut_off_at);
+  budget_slot(now).landed += 1;
+  Volume& v = volume_of(now, t);
+  v.arrived += t.units;
+  const int node = place(now, o);
+  if (node >= 0) v.load += t.units * load(nodes_[at(node)]);
+  if (profile.in_order && t.has_key) lanes_[t.key].line.push_back(id);
+  o.held = true;
+  held_.push_back(id);
+  serve(now);
+}
+
+void Control::replied(double now, int id, const Reply& r) {
+  Open& o = open_[at(id)];
+  Node& node = node_at(r.node);
+  const bool honoured = r.outcome == Outcome::kHonoured;
+  const bool never_ran = r.outcome == Outcome::kFull || r.outcome == Outcome::kNoConnection ||
+                         r.outcome == Outcome::kMoot;
+  const bool may_still_run = r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kReset ||
+                             r.outcome == Outcome::kCancelled;
+  o.out -= 1;
+  node.out -= 1;
+  node.units_out -= o.t.units;
+  if (!may_still_run) node.quiet_since = now;
+  Volume& v = volume_of(now, o.t);
+  if (honoured) {
+    node.served += o.t.units;
+    node.bucket_time += r.elapsed;
+    node.bucket_units += o.t.units;
+    node.bucket_replies += 1;
+    v.mine += o.t.units;
+  }
+  node.success += kAgainGain * ((honoured ? 1 : 0) - node.success);
+  if (r.dispatch > 0) node.again_success += kAgainGain * ((honoured ? 1 : 0) - node.again_success);
+  v.others += r.by_others;
+  if (r.by_others > 0 || r.volume_use >= 0) v.told = true;
+  if (!never_ran && !o.may_have_run) {
+    o.may_have_run = true;
+    o.first_node = r.node;
+  }
+  const Profile& profile = settings_.profiles[at(o.t.profile)];
+  if (may_still_run && profile.in_order && o.t.has_key) {
+    Lane& lane = lanes_[o.t.key];
+    lane.rest_until = std::max(lane.rest_until, now + settings_.turn_gap);
+  }
+  if (r.finished || o.over) {
+    o.over = true;
+    close(id);
+  } else if (r.outcome == Outcome::kMoot || now + kAnswerMargin >= o.cut_off_at || !again_wanted(o, node)) {
+    answer(now, id);
+  } else {
+    o.held = true;
+    o.not_before = now + kAgainPause * o.dispatches;
+    held_.push_back(id);
+  }
+  serve(now);
+}
+
+void Control::stream_began(double, int id) { open_[at(id)].cut_off_at = kNever; }
+
+void Control::abandoned(double now, int id) {
+  open_[at(id)].over = true;
+  close(id);
+  serve(now);
+}
+
+void Control::woken(double now) {
+  if (now >= ask_at_) ask_for_list(now);
+  while (now >= second_at_) {
+    second_passed(now);
+    second_at_ += kPeriod;
+  }
+  serve(now);
+}
+
+// ---- The path of a transaction ----
+
+// From top to bottom: what a held transaction must pass before it goes out.
+Control::Verdict Control::decide(double now, int id) {
+  Open& o = open_[at(id)];
+  const Profile& profile = settings_.profiles[at(o.t.profile)];
+  if (now + kAnswerMargin >= o.cut_off_at) {
+    answer(now, id);
+    return Verdict::kGone;
+  }
+  if (now < o.not_before) return Verdict::kHeld;
+
+  // Its key: one at a time, in the order of landing, rested.
+  if (profile.in_order && o.t.has_key) {
+    const Lane& lane = lanes_[o.t.key];
+    if (lane.line.front() != id || now < lane.rest_until) return Verdict::kHeld;
+  }
+
+  // Its node: ready, and for a new object the next in rotation.
+  const int index = place(now, o);
+  if (index < 0) return Verdict::kHeld;
+  Node& node = nodes_[at(index)];
+  if (o.dispatches > 0 && !may_go_again(now, o, node)) {
+    answer(now, id);
+    return Verdict::kGone;
+  }
+
+  // Its volume's slice of the limit, taken once.
+  Volume& v = volume_of(now, o.t);
+  const bool limited = o.t.plan >= 0 && settings_.plans[at(o.t.plan)].limit > 0;
+  if (limited && o.dispatches == 0 && v.store < o.t.units) return Verdict::kHeld;
+
+  // A node just back bears little.
+  if (cold_room(now, node) < o.t.units) return Verdict::kHeld;
+
+  // The gear: a volume over its cap waits at a loaded node.
+  if (load(node) >= kThreshold && over_gear(v) && v.pace < 0) return Verdict::kHeld;
+
+  // Our bound on units out.
+  if (!has_room(now, node, o.t.units)) {
+    node.pressed = true;
+    return Verdict::kNodeFull;
+  }
+
+  if (o.t.shard < 0) rotated(index);
+  if (limited && o.dispatches == 0) v.store -= o.t.units;
+  const double largest = settings_.largest_units;
+  v.pace = std::max(v.pace - o.t.units, -largest);
+  if (v.reserve <= 0) v.extra += o.t.units;
+  v.reserve = std::max(v.reserve - o.t.units, -largest);
+  if (is_cold(now, node)) node.cold_sent.push_back({now, o.t.units});
+  if (node.out == 0) node.quiet_since = now;
+  node.last_sent = now;
+  node.out += 1;
+  node.units_out += o.t.units;
+  if (o.dispatches > 0) budget_slot(now).again += 1;
+  if (!o.may_have_run) {
+    o.label_until = now + profile.label_window - kAnswerMargin;
+    o.node = index;
+  }
+  o.dispatches += 1;
+  o.out += 1;
+  o.held = false;
+  host_.dispatch(id, index, 0);
+  return Verdict::kGone;
+}
+
+// Looks at all that is held, the most worth first; what can no longer keep its contract time is answered.
+void Control::serve(double now) {
+  order_.clear();
+  for (int id : held_) {
+    if (open_[at(id)].held) order_.push_back({worth(now, open_[at(id)]), id});
+  }
+  std::stable_sort(order_.begin(), order_.end(), [](auto& a, auto& b) { return a.first > b.first; });
+  for (Node& node : nodes_) node.full = false;
+  for (const auto& [score, id] : order_) {
+    Open& o = open_[at(id)];
+    const int index = o.t.shard < 0 ? -1 : place(now, o);
+    const bool full = index >= 0 && nodes_[at(index)].full;
+    const Verdict verdict = full ? Verdict::kNodeFull : decide(now, id);
+    if (verdict == Verdict::kNodeFull && index >= 0) nodes_[at(index)].full = true;
+    if (o.held && now >= o.contract_at) answer(now, id);
+  }
+  std::erase_if(held_, [&](int id) { return !open_[at(id)].held; });
+
+  const double wanted = std::min(held_.empty() ? second_at_ : std::min(second_at_, now + kSweep), ask_at_);
+  if (next_wake_ <= now || wanted < next_wake_) {
+    next_wake_ = std::max(wanted, now + kSweep / 2);
+    host_.wake_at(next_wake_);
+  }
+}
+
+// What a dispatch now would earn for each unit, the closer to its contract time the more pressing.
+double Control::worth(double now, const Open& o) {
+  const Profile& profile = settings_.profiles[at(o.t.profile)];
+  double value = profile.benefit;
+  if (o.t.plan >= 0) {
+    const Plan& plan = settings_.plans[at(o.t.plan)];
+    const Volume& v = volume_of(now, o.t);
+    const double over = v.extra / std::max(cap(v, 0), 1e-9);
+    const double part = std::max(settings_.spare_part, settings_.share_part / (1 + over));
+    value *= plan.benefit_factor * (v.reserve > 0 ? 1 : part);
+  }
+  return value / std::max(o.contract_at - now, kLeastSlack);
+}
+
+// The final answer for a transaction that is not to be served. At once, never held back.
+void Control::answer(double now, int id) {
+  Open& o = open_[at(id)];
+  const Profile& profile = settings_.profiles[at(o.t.profile)];
+  const bool labelled = profile.repeat == Repeat::kLabelled && profile.group == Group::kAll;
+  const bool harmless = (!o.may_have_run && o.out == 0) || profile.repeat == Repeat::kRedoable || labelled;
+  o.held = false;
+  o.over = true;
+  if (now >= o.cut_off_at || !harmless) {
+    host_.give_up(id);
+  } else {
+    host_.turn_back(id, std::min(settings_.max_wait, profile.contract));
+  }
+  close(id);
+}
+
+// Frees what a transaction holds once it is over and none of its dispatches is out.
+void Control::close(int id) {
+  Open& o = open_[at(id)];
+  o.held = false;
+  if (o.out > 0 || !o.used) return;
+  if (settings_.profiles[at(o.t.profile)].in_order && o.t.has_key) std::erase(lanes_[o.t.key].line, id);
+  o.used = false;
+  host_.forget(id);
+}
+
+// ---- Further dispatches ----
+
+// Follows how many of the recent further dispatches at the node succeeded.
+bool Control::again_wanted(const Open& o, const Node& node) {
+  if (o.dispatches >= settings_.dispatch_cap) return false;
+  const double chance = std::max(kAgainFloor, std::min(1.0, 2 * node.again_success));
+  return std::uniform_real_distribution(0.0, 1.0)(random_) < chance;
+}
+
+bool Control::may_go_again(double now, const Open& o, const Node& node) {
+  if (settings_.has_budget) {
+    double landed = 0;
+    double again = 1;
+    const Bucket* newest = &budget_slot(now);
+    for (const Bucket& b : budget_) {
+      again += b.again;
+      if (b.slot + kBudgetSlots > newest->slot) landed += b.landed;  // parts wholly inside the window
+    }
+    if (again > settings_.budget_free + settings_.budget_share * landed) return false;
+  }
+  if (!o.may_have_run) return true;
+  const Profile& profile = settings_.profiles[at(o.t.profile)];
+  if (profile.repeat == Repeat::kRedoable) return true;
+  if (profile.repeat == Repeat::kIrreversible || now > o.label_until) return false;
+  const Node& first = nodes_[at(o.first_node)];
+  return profile.group == Group::kAll || (profile.group == Group::kZone && first.zone == node.zone) ||
+         (profile.group == Group::kCell && first.shard == node.shard);
+}
+
+Bucket& Control::budget_slot(double now) {
+  const auto slot = settings_.has_budget
+                        ? static_cast<std::int64_t>(now / (settings_.budget_window / kBudgetSlots))
+                        : 0;
+  for (Bucket& b : budget_) {
+    if (b.slot + kBudgetSlots < slot) b = Bucket{};
+  }
+  Bucket& b = budget_[static_cast<std::size_t>(slot % (kBudgetSlots + 1))];
+  b.slot = slot;
+  return b;
+}
+
+// ---- Nodes ----
+
+Node& Control::node_at(int index) {
+  if (nodes_.size() <= at(index)) nodes_.resize(at(index) + 1);
+  return nodes_[at(index)];
+}
+
+// The node for a transaction, or -1. A shard's newest ready node; for a new object, see rotate().
+int Control::place(double now, const Open& o) {
+  if (o.t.shard < 0) return rotate(now, o);
+  int best = -1;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    const Node& node = nodes_[i];
+    if (node.listing != Listing::kReady || node.shard != o.t.shard) continue;
+    if (best < 0 || node.came_up > nodes_[at(best)].came_up) best = static_cast<int>(i);
+  }
+  return best;
+}
+
+// Weighted rotation for new objects over the ready nodes with room. The weight is what a node has been seen to
+// manage: units a second of latency, times the part of its replies that were good.
+int Control::rotate(double now, const Open& o) {
+  double known = 0;
+  int heard = 0;
+  for (const Node& node : nodes_) {
+    if (node.listing == Listing::kReady && node.buckets > 0) {
+      known += 1 / unit_time(node);
+      ++heard;
+    }
+  }
+  const double usual = heard > 0 ? known / heard : 1;
+  int best = -1;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    Node& node = nodes_[i];
+    node.weight = 0;
+    if (node.listing != Listing::kReady || !has_room(now, node, o.t.units) || is_silent(now, node) ||
+        cold_room(now, node) < o.t.units) {
+      continue;
+    }
+    node.weight = (node.buckets > 0 ? 1 / unit_time(node) : usual) * std::max(node.success, kAgainFloor);
+    if (best < 0 || node.turn + node.weight > nodes_[at(best)].turn + nodes_[at(best)].weight) {
+      best = static_cast<int>(i);
+    }
+  }
+  return best;
+}
+
+// Moves the rotation on after its pick was used.
+void Control::rotated(int picked) {
+  double sum = 0;
+  for (Node& node : nodes_) {
+    node.turn += node.weight;
+    sum += node.weight;
+  }
+  nodes_[at(picked)].turn -= sum;
+}
+
+// Recent latency for each unit: low among the means over the time of a flush pause, which thus stays out.
+double Control::unit_time(const Node& node) const {
+  auto sorted = node.recent;
+  const int count = std::min(node.buckets, kFlushPeriods);
+  std::nth_element(sorted.begin(), sorted.begin() + count / 4, sorted.begin() + count);
+  return std::max(sorted[at(count / 4)], 1e-6);
+}
+
+double Control::load(const Node& node) const {
+  return node.buckets > 0 ? 1 - node.best / unit_time(node) : 0;
+}
+
+bool Control::has_room(double now, const Node& node, double units) const {
+  if (node.out >= kMostOut) return false;
+  // Danger: a node that takes work and answers none; also a dead process that the list still names. One trial
+  // at a time goes there until it replies. May hurt at a node that serves nothing but very long work.
+  if (is_silent(now, node)) return now - node.last_sent >= kTrialEvery;
+  return node.out < kLeastOut || node.units_out + units <= node.rate * kAimPart * tightest_;
+}
+
+bool Control::is_silent(double now, const Node& node) const {
+  return node.out > 0 && now - node.quiet_since > kSilentAfter;
+}
+
+bool Control::is_cold(double now, const Node& node) const {
+  return settings_.has_cold_rule && node.came_up > 0 && now < node.came_up + settings_.cold_time;
+}
+
+// Danger: all schedulers together push a node over that has just come up. The safe number of units grows with
+// the node, never slower than evenly. While an even part of it would not hold the largest transaction, the
+// schedulers take turns by number, one in a fall time; after that each keeps to its part.
+double Control::cold_room(double now, Node& node) const {
+  if (!is_cold(now, node)) return kNever;
+  std::erase_if(node.cold_sent, [&](const Sent& s) { return s.at < now - settings_.fall_time * 1.05; });
+  double sent = 0;
+  for (const Sent& s : node.cold_sent) sent += s.units;
+  const int schedulers = std::max(settings_.schedulers, 1);
+  const double turn_time = kTurnTime * settings_.fall_time;
+  const double turn = std::floor(std::max(now - node.came_up, 0.0) / turn_time);
+  const double aged = std::min(1.0, turn * turn_time / settings_.cold_time);
+  const double share = std::max(settings_.cold_share, 0.01);
+  const double safe = settings_.cold_units * (share + (1 - share) * aged) / share;
+  if (safe / schedulers >= settings_.largest_units) return safe / schedulers - sent;
+  const bool mine = static_cast<int>(turn) % schedulers == settings_.index % schedulers;
+  const bool open = now - node.came_up - turn * turn_time < kTurnPart * settings_.fall_time;
+  return mine && open ? safe - sent : 0;
+}
+
+// ---- Volumes ----
+
+Volume& Control::volume_of(double now, const Transaction& t) {
+  if (volumes_.size() <= at(t.volume)) volumes_.resize(at(t.volume) + 1);
+  Volume& v = volumes_[at(t.volume)];
+  const int most = std::max(settings_.schedulers, 1);
+  const int hosts = t.hosts > 0 ? std::min(t.hosts, most) : most;
+  if (!v.used) {
+    v = Volume{};
+    v.used = true;
+    v.plan = t.plan;
+    v.hosts = hosts;
+    // Danger: a scheduler that died has spent its slice of the limit and forgotten it. So every slice is empty
+    // at this scheduler's start. May hurt in the first second of a day.
+    v.filled_at = started_;
+  }
+  v.hosts = std::max(v.hosts, hosts);
+  if (v.plan < 0 || now <= v.filled_at) return v;
+  const Plan& plan = settings_.plans[at(v.plan)];
+  const double passed = now - v.filled_at;
+  const double share = told_share(v);
+  v.filled_at = now;
+  v.store = std::min(v.store + passed * plan.limit / v.hosts, plan.burst / v.hosts);
+  const double reserve = plan.reservation * share;
+  v.reserve = std::min(v.reserve + passed * reserve, reserve * kPeriod + settings_.largest_units);
+  const double pace = std::max(cap(v, v.gear) * share, plan.reservation);
+  v.pace = std::min(v.pace + passed * pace, settings_.largest_units);
+  return v;
+}
+
+double Control::told_share(const Volume& v) const {
+  const double sum = v.mine + v.others;
+  return v.told && sum > 0 ? std::max(v.mine / sum, 0.1 / v.hosts) : 1.0 / v.hosts;
+}
+
+// The cap of a gear: doubling from the larger of reservation and usual rate, up to the limit.
+double Control::cap(const Volume& v, int gear) const {
+  if (v.plan < 0) return kNever;
+  const Plan& plan = settings_.plans[at(v.plan)];
+  const double base = std::max(plan.reservation, plan.usual);
+  const double top = plan.limit > 0 ? plan.limit : kTopGears * base;
+  return std::min(base * std::pow(2.0, gear), top);
+}
+
+// Whether a volume below its top gear asks for more than its cap, or the share of it that it was told of.
+bool Control::over_gear(const Volume& v) const {
+  const double now_cap = cap(v, v.gear);
+  if (cap(v, v.gear + 1) <= now_cap) return false;
+  return std::max(v.arrival_rate, v.arrived) > now_cap * (v.told ? told_share(v) : 1);
+}
+
+// Once a period: gears move one step, latencies and rates are learned.
+void Control::second_passed(double now) {
+  for (Volume& v : volumes_) {
+    if (!v.used) continue;
+    v.arrival_rate = v.arrived / kPeriod;
+    const double share = told_share(v);
+    const double seen_load = v.arrived > 0 ? v.load / v.arrived : 0;
+    const double now_cap = cap(v, v.gear);
+    if (v.arrival_rate > kPromoteAbove * now_cap * share && cap(v, v.gear + 1) > now_cap) {
+      if (seen_load < kThreshold) v.gear += 1;
+    } else if (v.gear > 0 && v.arrival_rate < cap(v, v.gear - 1) * share) {
+      v.gear -= 1;
+    }
+    v.arrived = v.load = 0;
+    v.mine *= kKeep;
+    v.others *= kKeep;
+    v.extra *= kKeep;
+  }
+  for (Node& node : nodes_) {
+    const double served = node.served / kPeriod;
+    if (served > node.rate) {
+      node.rate = served;
+    } else if (node.pressed) {
+      node.rate = kRateKeep * node.rate + (1 - kRateKeep) * served;
+    }
+    node.served = 0;
+    node.pressed = false;
+    if (node.bucket_replies >= kBucketReplies) {
+      node.recent[at(node.buckets % kFlushPeriods)] = node.bucket_time / node.bucket_units;
+      node.buckets += 1;
+      node.bucket_time = node.bucket_units = node.bucket_replies = 0;
+      const double recent = unit_time(node);
+      node.best = node.buckets == 1 ? recent : std::min(node.best * kBestDrift, recent);
+    }
+  }
+  std::erase_if(lanes_, [&](const auto& l) { return l.second.line.empty() && now >= l.second.rest_until; });
+}
+
+void Control::ask_for_list(double now) {
+  host_.watch_list();
+  ask_at_ = now + kAskMost;
+}
+
+}  // namespace heronworks
--- /dev/null
+++ b/src/drill/main.cpp
@@ -0,0 +1,431 @@
+// The adapter: speaks the drill's wire on standard input and output for many instances of the module.
+#include <charconv>
+#include <cstdio>
+#include <exception>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "control.h"
+
+namespace heronworks::drill {
+namespace {
+
+constexpr double kMicro = 1e-6;
+
+// Raised on input that cannot be understood; ends the adapter.
+struct BadInput : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// One line: its message and its fields.
+class Line {
+ public:
+  Line(std::string_view text, std::size_t number) : number_(number) {
+    while (true) {
+      const auto tab = text.find('\t');
+      parts_.push_back(text.substr(0, tab));
+      if (tab == std::string_view::npos) break;
+      text.remove_prefix(tab + 1);
+    }
+  }
+
+  std::string_view message() const { return parts_[0]; }
+
+  std::optional<std::string_view> find(std::string_view name) const {
+    for (std::size_t i = 1; i < parts_.size(); ++i) {
+      const auto part = parts_[i];
+      if (part.size() > name.size() && part[name.size()] == '=' && part.substr(0, name.size()) == name) {
+        return part.substr(name.size() + 1);
+      }
+    }
+    return std::nullopt;
+  }
+
+  std::string_view text(std::string_view name) const {
+    const auto value = find(name);
+    if (!value || value->empty()) fail(name);
+    return *value;
+  }
+
+  double number(std::string_view name) const { return parsed<double>(name, text(name)); }
+  double number(std::string_view name, double absent) const {
+    const auto value = find(name);
+    return value ? parsed<double>(name, *value) : absent;
+  }
+  std::int64_t integer(std::string_view name) const { return parsed<std::int64_t>(name, text(name)); }
+  std::int64_t integer(std::string_view name, std::int64_t absent) const {
+    const auto value = find(name);
+    return value ? parsed<std::int64_t>(name, *value) : absent;
+  }
+
+  bool flag(std::string_view name) const {
+    const auto value = find(name);
+    if (!value || *value == "0" || *value == "false") return false;
+    if (*value != "1" && *value != "true") fail(name);
+    return true;
+  }
+
+  [[noreturn]] void fail(std::string_view name) const {
+    throw BadInput("line " + std::to_string(number_) + ": " + std::string(message()) + ": bad field '" +
+                   std::string(name) + "'");
+  }
+
+ private:
+  template <typename Number>
+  Number parsed(std::string_view name, std::string_view value) const {
+    Number result{};
+    const auto end = value.data() + value.size();
+    const auto [stop, error] = std::from_chars(value.data(), end, result);
+    if (error != std::errc() || stop != end) fail(name);
+    return result;
+  }
+
+  std::size_t number_;
+  std::vector<std::string_view> parts_;
+};
+
+// Names become small numbers in the order in which they are first met.
+class Names {
+ public:
+  int index(std::string_view name) {
+    return static_cast<int>(numbers_.emplace(std::string(name), numbers_.size()).first->second);
+  }
+  std::optional<int> known(std::string_view name) const {
+    const auto found = numbers_.find(std::string(name));
+    if (found == numbers_.end()) return std::nullopt;
+    return static_cast<int>(found->second);
+  }
+
+ private:
+  std::unordered_map<std::string, std::size_t> numbers_;
+};
+
+struct Listed {
+  std::string server;
+  std::string zone;
+  Entry entry;
+};
+
+Settings read_settings(const Line& line, Names& profiles, Names& plans) {
+  Settings s;
+  s.seed = static_cast<std::uint64_t>(line.integer("rng-seed"));
+  s.index = static_cast<int>(line.integer("index", 0));
+  s.schedulers = static_cast<int>(line.integer("balancers", 1));
+  s.mean_units = line.number("family-info.mean-units", 1.0);
+  s.largest_units = line.number("family-info.largest", s.mean_units);
+  s.share_part = line.number("family-info.share-worth", 1.0);
+  s.spare_part = line.number("family-info.spare-worth", 1.0);
+  s.dispatch_cap = static_cast<int>(line.integer("allowed.attempts-cap", 1));
+  s.asks_for_list = line.find("discovery").value_or("") == "on_request";
+  if (line.flag("allowed.retry-after")) s.max_wait = kMicro * line.number("allowed.max-retry-after", 0.0);
+  s.resolution = kMicro * line.number("resolution", 0.0);
+  s.has_cold_rule = line.find("rules.fall") && line.find("rules.cold");
+  if (s.has_cold_rule) {
+    s.cold_units = line.number("family-info.cold-units", 0.0);
+    s.cold_share = line.number("rules.cold-share", 0.0);
+    s.cold_time = kMicro * line.number("rules.cold");
+    s.fall_time = kMicro * line.number("rules.fall");
+  }
+  s.has_budget = line.find("rules.extra-window").has_value();
+  if (s.has_budget) {
+    s.budget_free = line.number("rules.free-resends", 0.0);
+    s.budget_share = line.number("rules.extra-per-request", 0.0);
+    s.budget_window = kMicro * line.number("rules.extra-window");
+  }
+  s.turn_gap = kMicro * line.number("rules.turn-gap", 0.0);
+  for (std::int64_t i = 0; i < line.integer("request-classes.count", 0); ++i) {
+    const auto at = "request-classes." + std::to_string(i) + ".";
+    Profile p;
+    p.contract = kMicro * line.number(at + "aim");
+    p.cut_off = kMicro * line.number(at + "give-up");
+    p.benefit = line.number(at + "gain", 1.0);
+    p.late_part = line.number(at + "late-worth", 0.0);
+    p.label_window = kMicro * line.number(at + "dedup-window", 0.0);
+    const auto effect = line.text(at + "effect");
+    if (effect == "safe") p.repeat = Repeat::kRedoable;
+    else if (effect == "keyed") p.repeat = Repeat::kLabelled;
+    else if (effect == "unsafe") p.repeat = Repeat::kIrreversible;
+    else line.fail(at + "effect");
+    const auto group = line.find(at + "group").value_or("cell");
+    if (group == "all") p.group = Group::kAll;
+    else if (group == "zone") p.group = Group::kZone;
+    else if (group == "cell") p.group = Group::kCell;
+    else line.fail(at + "group");
+    p.in_order = line.flag(at + "sequential");
+    profiles.index(line.text(at + "name"));
+    s.profiles.push_back(p);
+  }
+  for (std::int64_t i = 0; i < line.integer("policies.count", 0); ++i) {
+    const auto at = "policies." + std::to_string(i) + ".";
+    Plan p;
+    p.limit = line.number(at + "ceiling-rate", 0.0);
+    p.burst = line.number(at + "limit-burst", 0.0);
+    p.reservation = line.number(at + "floor-rate", 0.0);
+    p.usual = line.number(at + "nominal", 0.0);
+    p.weight = line.number(at + "shares", 1.0);
+    p.benefit_factor = line.number(at + "worth-factor", 1.0);
+    plans.index(line.text(at + "name"));
+    s.plans.push_back(p);
+  }
+  return s;
+}
+
+Outcome outcome_of(const Line& line) {
+  const auto code = line.integer("result");
+  if (code < 1 || code > 8) line.fail("result");
+  return static_cast<Outcome>(code - 1);
+}
+
+// One scheduler: the module and the names that it must not see.
+class Instance final : public Host {
+ public:
+  Instance(const Line& line, std::string& out, double now)
+      : out_(out), who_(line.integer("who")), now_(now) {
+    Settings settings = read_settings(line, profiles_, plans_);
+    control_ = std::make_unique<Control>(std::move(settings), *this, now);
+  }
+
+  void handle(const Line& line, const std::vector<std::vector<Listed>>& lists, double now) {
+    now_ = now;
+    const auto message = line.message();
+    if (message == "CALL") call(line);
+    else if (message == "RESPONSE") response(line);
+    else if (message == "MEMBERSHIP") membership(line, lists);
+    else if (message == "WAKEUP") control_->woken(now);
+    else if (message == "ABANDONED") with_known(line, [&](int id) { control_->abandoned(now, id); });
+    else if (message == "FIRST_BYTE") with_known(line, [&](int id) { control_->stream_began(now, id); });
+  }
+
+  void dispatch(int transaction, int node, double try_for) override {
+    begin("HAND_OFF", transaction);
+    out_ += "\tserver=" + servers_[static_cast<std::size_t>(node)];
+    if (try_for > 0) out_ += "\ttry-for=" + micros(try_for);
+    out_ += '\n';
+  }
+  void turn_back(int transaction, double wait) override {
+    begin("TURN_AWAY", transaction);
+    if (wait > 0) out_ += "\tcool-down=" + micros(wait);
+    out_ += '\n';
+  }
+  void give_up(int transaction) override {
+    begin("SURRENDER", transaction);
+    out_ += '\n';
+  }
+  void forget(int transaction) override {
+    auto& handle = handles_[static_cast<std::size_t>(transaction)];
+    ids_.erase(handle);
+    handle.clear();
+    free_.push_back(transaction);
+  }
+  void watch_list() override { out_ += "TAIL\twho=" + std::to_string(who_) + "\tactive=1\n"; }
+  void wake_at(double time) override {
+    out_ += "TIMER\twho=" + std::to_string(who_) + "\tat=" + micros(time) + "\tcookie=0\n";
+  }
+
+ private:
+  void begin(const char* action, int transaction) {
+    out_ += action;
+    out_ += "\twho=" + std::to_string(who_) + "\thandle=" + handles_[static_cast<std::size_t>(transaction)];
+  }
+
+  static std::string micros(double seconds) {
+    return std::to_string(static_cast<std::int64_t>(seconds / kMicro + 0.5));
+  }
+
+  template <typename Act>
+  void with_known(const Line& line, Act act) {
+    const auto found = ids_.find(std::string(line.text("handle")));
+    if (found != ids_.end()) act(found->second);
+  }
+
+  int server(std::string_view name) {
+    const auto [at, fresh] = server_numbers_.emplace(std::string(name), static_cast<int>(servers_.size()));
+    if (fresh) servers_.emplace_back(name);
+    return at->second;
+  }
+
+  void call(const Line& line) {
+    Transaction t;
+    t.has_key = line.find("chunk").has_value();
+    if (t.has_key) t.key = static_cast<std::uint64_t>(line.integer("chunk"));
+    t.time_left = kMicro * line.number("left");
+    t.units = line.number("units", 1.0);
+    const auto volume = line.integer("volume", -1);
+    t.volume = static_cast<int>(volumes_.emplace(volume, volumes_.size()).first->second);
+    const auto profile = profiles_.known(line.text("profile"));
+    if (!profile) line.fail("profile");
+    t.profile = *profile;
+    const auto plan = plans_.known(line.find("grade").value_or(""));
+    if (!plan && line.find("grade")) line.fail("grade");
+    t.plan = plan.value_or(-1);
+    t.shard = static_cast<int>(line.number("slot-no", -1.0));
+    t.hosts = static_cast<int>(line.number("set-size", 0.0));
+    const std::string handle(line.text("handle"));
+    int id = 0;
+    if (free_.empty()) {
+      id = static_cast<int>(handles_.size());
+      handles_.push_back(handle);
+    } else {
+      id = free_.back();
+      free_.pop_back();
+      handles_[static_cast<std::size_t>(id)] = handle;
+    }
+    ids_[handle] = id;
+    control_->landed(now_, id, t);
+  }
+
+  void response(const Line& line) {
+    Reply r;
+    r.dispatch = static_cast<int>(line.integer("trial", 0));
+    r.node = server(line.text("server"));
+    r.elapsed = kMicro * line.number("elapsed", 0.0);
+    r.outcome = outcome_of(line);
+    r.finished = line.flag("finished");
+    r.by_others = line.number("by-others", 0.0);
+    const auto use = line.number("volume-use", 0.0);
+    if (use > 0) r.volume_use = (use - 1) / 100;
+    with_known(line, [&](int id) { control_->replied(now_, id, r); });
+  }
+
+  void membership(const Line& line, const std::vector<std::vector<Listed>>& lists) {
+    const auto code = line.integer("scope");
+    if (code < 0 || code > 3) line.fail("scope");
+    const auto scope = static_cast<Scope>(code);
+    std::vector<Entry> entries;
+    if (scope != Scope::kFailed) {
+      const auto list = line.integer("list");
+      if (list < 0 || list >= static_cast<std::int64_t>(lists.size())) line.fail("list");
+      for (const Listed& l : lists[static_cast<std::size_t>(list)]) {
+        entries.push_back(l.entry);
+        entries.back().node = server(l.server);
+        entries.back().zone = zones_.index(l.zone);
+      }
+    }
+    control_->list_news(now_, scope, entries);
+  }
+
+  std::string& out_;
+  std::int64_t who_;
+  double now_;
+  Names profiles_;
+  Names plans_;
+  Names zones_;
+  std::vector<std::string> servers_;
+  std::unordered_map<std::string, int> server_numbers_;
+  std::unordered_map<std::int64_t, std::size_t> volumes_;
+  std::unordered_map<std::string, int> ids_;  // open transactions only, see forget()
+  std::vector<std::string> handles_;
+  std::vector<int> free_;
+  std::unique_ptr<Control> control_;
+};
+
+class Drill {
+ public:
+  int run() {
+    std::string text;
+    while (next(text)) {
+      const Line sync(text, number_);
+      if (text.empty()) continue;
+      if (sync.message() != "SYNC") throw BadInput("line " + std::to_string(number_) + ": no SYNC");
+      batch(kMicro * sync.number("sim-time"));
+      out_ += "EOR\n";
+      std::cout.write(out_.data(), static_cast<std::streamsize>(out_.size()));
+      std::cout.flush();
+      out_.clear();
+    }
+    return 0;
+  }
+
+ private:
+  static constexpr std::size_t kLists = 16;  // the wire numbers lists from 0 to 15
+
+  bool next(std::string& text) {
+    if (!std::getline(std::cin, text)) return false;
+    ++number_;
+    if (std::cin.eof()) throw BadInput("line " + std::to_string(number_) + ": cut short");
+    return true;
+  }
+
+  void need(std::string& text) {
+    if (!next(text)) throw BadInput("line " + std::to_string(number_) + ": input ends inside a batch");
+  }
+
+  void batch(double now) {
+    std::string text;
+    while (true) {
+      need(text);
+      if (text == "EOB") return;
+      const Line line(text, number_);
+      if (line.message() == "SHEET") {
+        sheet(line);
+      } else if (line.find("who")) {
+        event(line, now);
+      }
+    }
+  }
+
+  void sheet(const Line& line) {
+    const auto list = line.integer("list");
+    if (list < 0 || list >= static_cast<std::int64_t>(kLists)) line.fail("list");
+    auto& entries = lists_[static_cast<std::size_t>(list)];
+    entries.clear();
+    std::string text;
+    for (auto left = line.integer("members", 0); left > 0; --left) {
+      need(text);
+      const Line member(text, number_);
+      if (member.message() != "SERVER") line.fail("members");
+      const auto state = member.integer("state", 1);
+      if (state < 0 || state > 2) member.fail("state");
+      Listed listed;
+      listed.server = member.text("server");
+      listed.zone = member.find("campus").value_or("");
+      listed.entry.shard = static_cast<int>(member.integer("cohort", -1));
+      listed.entry.listing = static_cast<Listing>(state);
+      listed.entry.came_up = kMicro * member.number("came-up", 0.0);
+      entries.push_back(std::move(listed));
+    }
+  }
+
+  void event(const Line& line, double now) {
+    const auto who = line.integer("who");
+    const auto before = out_.size();
+    try {
+      if (line.message() == "SHUTDOWN") {
+        instances_.erase(who);
+      } else if (line.message() == "PROVISION") {
+        instances_[who] = std::make_unique<Instance>(line, out_, now);
+      } else if (const auto at = instances_.find(who); at != instances_.end()) {
+        at->second->handle(line, lists_, now);
+      }
+    } catch (const BadInput&) {
+      throw;
+    } catch (const std::exception& error) {
+      out_.resize(before);
+      out_ += "GIVE_IN\twho=" + std::to_string(who) + "\tmessage=" + error.what() + "\n";
+    }
+  }
+
+  std::size_t number_ = 0;
+  std::string out_;
+  std::vector<std::vector<Listed>> lists_ = std::vector<std::vector<Listed>>(kLists);
+  std::unordered_map<std::int64_t, std::unique_ptr<Instance>> instances_;
+};
+
+}  // namespace
+}  // namespace heronworks::drill
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  try {
+    return heronworks::drill::Drill().run();
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "heronworks_drill: %s\n", error.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/state.h
@@ -0,0 +1,126 @@
+// Plain types that pass between the module, its host and its tables. No behaviour.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace heronworks {
+
+enum class Outcome { kHonoured, kError, kFull, kTimedOut, kNoConnection, kReset, kCancelled, kMoot };
+enum class Listing { kGone, kReady, kDraining };
+enum class Scope { kChanges, kWhole, kSaved, kFailed };
+
+// One line of the node list. `node` is a small index that stays the same for an address.
+struct Entry {
+  int node = 0;
+  int zone = 0;
+  int shard = -1;
+  Listing listing = Listing::kReady;
+  double came_up = 0;  // 0: long ago
+};
+
+// A transaction as it lands. `volume` is a small index.
+struct Transaction {
+  bool has_key = false;
+  std::uint64_t key = 0;
+  double time_left = 0;
+  double units = 0;
+  int volume = 0;
+  int profile = 0;
+  int plan = 0;
+  int shard = -1;  // -1: a new object, any node
+  int hosts = 0;   // 0: not said
+};
+
+// The end of one dispatch.
+struct Reply {
+  int dispatch = 0;
+  int node = 0;
+  double elapsed = 0;
+  Outcome outcome = Outcome::kHonoured;
+  bool finished = false;
+  double by_others = 0;    // units that the node served the volume through other hosts
+  double volume_use = -1;  // served everywhere in a past period / usual rate; below 0: not told
+};
+
+// The tables of the module.
+struct Open {
+  Transaction t;
+  double landed = 0;
+  double contract_at = 0;
+  double cut_off_at = 0;
+  double not_before = 0;
+  double label_until = 0;  // end of the repeat window, counted from the first dispatch that may have run
+  int node = -1;           // where it was last sent
+  int first_node = -1;     // of the first dispatch that may have run
+  int dispatches = 0;
+  int out = 0;
+  bool used = false;
+  bool held = false;
+  bool over = false;
+  bool may_have_run = false;
+};
+
+struct Sent {
+  double at = 0;
+  double units = 0;
+};
+
+struct Node {
+  bool listed = false;
+  Listing listing = Listing::kGone;
+  int zone = 0;
+  int shard = -1;
+  double came_up = 0;
+  int out = 0;
+  double units_out = 0;
+  double quiet_since = 0;
+  double last_sent = 0;
+  double rate = 0;  // learned, units a second
+  double served = 0;
+  bool pressed = false;  // the bound was reached in this period
+  bool full = false;     // no more in this look at what is held
+  double bucket_time = 0;
+  double bucket_units = 0;
+  double bucket_replies = 0;
+  std::array<double, 4> recent{};  // means of latency for each unit, one a period
+  int buckets = 0;
+  double best = 0;
+  double success = 1;
+  double again_success = 1;
+  double weight = 0;
+  double turn = 0;
+  std::vector<Sent> cold_sent;  // of the last fall time; emptied as it passes
+};
+
+struct Volume {
+  bool used = false;
+  int plan = -1;
+  int hosts = 1;
+  int gear = 0;
+  double arrived = 0;
+  double load = 0;  // of the nodes that it asked for, weighted by units
+  double arrival_rate = 0;
+  double mine = 0;
+  double others = 0;
+  bool told = false;
+  double reserve = 0;
+  double extra = 0;
+  double pace = 0;
+  double store = 0;
+  double filled_at = 0;
+};
+
+struct Lane {
+  std::vector<int> line;
+  double rest_until = 0;
+};
+
+struct Bucket {
+  std::int64_t slot = -1;
+  double landed = 0;
+  double again = 0;
+};
+
+}  // namespace heronworks
