--- a/src/control.cpp
+++ b/src/control.cpp
@@ -29,6 +29,7 @@
 constexpr double kBestDrift = 1.01;      // a bucket: best latency is forgotten slowly, as nodes change for good
 constexpr double kKeep = 0.7;            // a second: what is kept of a volume's told and own service
 constexpr double kRateKeep = 0.7;        // a second: what is kept of the learned rate while the bound is reached
+constexpr double kLatencyGain = 0.2;     // weight of the newest reply in a node's recent latency
 constexpr double kSweep = 0.01;          // s between two looks at what is held
 constexpr double kAnswerMargin = 0.03;   // s before the cut-off at which a held transaction is answered
 constexpr double kLeastSlack = 0.05;     // s: transactions closer than this to their contract time are equal
@@ -139,6 +140,7 @@
     node.bucket_time += r.elapsed;
     node.bucket_units += o.t.units;
     node.bucket_replies += 1;
+    node.latency += kLatencyGain * (r.elapsed - node.latency);
     v.mine += o.t.units;
   }
   node.success += kAgainGain * ((honoured ? 1 : 0) - node.success);
@@ -431,7 +433,12 @@
   // Danger: a node that takes work and answers none; also a dead process that the list still names. One trial
   // at a time goes there until it replies. May hurt at a node that serves nothing but very long work.
   if (is_silent(now, node)) return now - node.last_sent >= kTrialEvery;
-  return node.out < kLeastOut || node.units_out + units <= node.rate * kAimPart * tightest_;
+  // Danger: the least number from each of many hosts is more than a node serves in the contract time. So while
+  // the recent latency is over the bound's own aim, the least falls in the same measure. Acts on any crowd: many
+  // hosts, a slow or a small node. May hurt where a few very long transactions raise the latency.
+  const double aim = kAimPart * tightest_;
+  const int least = node.latency > aim ? std::max(1, static_cast<int>(kLeastOut * aim / node.latency)) : kLeastOut;
+  return node.out < least || node.units_out + units <= node.rate * aim;
 }
 
 bool Control::is_silent(double now, const Node& node) const {
--- a/src/state.h
+++ b/src/state.h
@@ -87,6 +87,7 @@
   std::array<double, 4> recent{};  // means of latency for each unit, one a period
   int buckets = 0;
   double best = 0;
+  double latency = 0;  // recent, of a whole dispatch
   double success = 1;
   double again_success = 1;
   double weight = 0;
