--- a/src/control.cpp
+++ b/src/control.cpp
@@ -265,9 +265,13 @@
     Open& o = open_[at(id)];
     const int index = o.t.shard < 0 ? -1 : place(now, o);
     const bool full = index >= 0 && nodes_[at(index)].full;
-    const Verdict verdict = full ? Verdict::kNodeFull : decide(now, id);
-    if (verdict == Verdict::kNodeFull && index >= 0) nodes_[at(index)].full = true;
-    if (o.held && now >= o.contract_at) answer(now, id);
+    const bool late = index >= 0 && nodes_[at(index)].out > 0 && now + nodes_[at(index)].latency >= o.contract_at;
+    const Verdict verdict = full || late ? Verdict::kNodeFull : decide(now, id);
+    if (verdict == Verdict::kNodeFull && !late && index >= 0) nodes_[at(index)].full = true;
+    // Danger: work that can no longer keep its contract time makes the next miss theirs. It goes only to a node
+    // with nothing out, which also finds out when an old latency no longer holds.
+    const double latency = index >= 0 ? nodes_[at(index)].latency : 0;
+    if (o.held && now + latency >= o.contract_at) answer(now, id);
   }
   std::erase_if(held_, [&](int id) { return !open_[at(id)].held; });
 
