--- a/src/control.cpp
+++ b/src/control.cpp
@@ -159,7 +159,8 @@
   if (r.finished || o.over) {
     o.over = true;
     close(id);
-  } else if (r.outcome == Outcome::kMoot || now + kAnswerMargin >= o.cut_off_at || !again_wanted(o, node)) {
+  } else if (r.outcome == Outcome::kMoot || now + kAnswerMargin >= o.cut_off_at || !may_go_again(now, o, node) ||
+             !again_wanted(o, node)) {
     answer(now, id);
   } else {
     o.held = true;
@@ -201,7 +202,7 @@
   // Its key: one at a time, in the order of landing, rested.
   if (profile.in_order && o.t.has_key) {
     const Lane& lane = lanes_[o.t.key];
-    if (lane.line.front() != id || now < lane.rest_until) return Verdict::kHeld;
+    if (lane.line.front() != id || (o.dispatches == 0 && now < lane.rest_until)) return Verdict::kHeld;
   }
 
   // Its node: ready, and for a new object the next in rotation.
--- /dev/null
+++ b/tests/control_test.cpp
@@ -0,0 +1,180 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "stage.h"
+
+using namespace heronworks;
+
+TEST_CASE("the bound: four may be out at an unheard node, the most pressing of the rest follows") {
+  Stage s(plain_settings());
+  for (int i = 0; i < 6; ++i) s.land(i, i == 5 ? 2 : 0, 2, 0, i);
+  s.until(100.05);
+  s.reply(1, Outcome::kHonoured);
+  s.until(100.06);
+  s.reply(0, Outcome::kHonoured);
+  CHECK(s.matches("bound"));
+}
+
+TEST_CASE("gears: a volume over its cap is held at a loaded node, never below its reservation") {
+  Stage s(plain_settings());
+  int id = 0;
+  for (int second = 0; second < 9; ++second) {
+    const bool calm = second < 4;
+    const bool surge = second >= 8;
+    s.say(surge ? "another volume surges" : calm ? "calm" : "loaded");
+    for (int i = 0; i < (surge ? 14 : 3); ++i, ++id) {
+      s.until(100 + second + i * 0.06);
+      s.land(id, 0, surge ? 2 : 1, 0, surge ? 1 : 0);
+      s.until(100 + second + i * 0.06 + 0.04);
+      s.reply_all(Outcome::kHonoured, calm ? 0.004 : 0.1);
+    }
+    s.until(101 + second);
+  }
+  CHECK(s.matches("gears"));
+}
+
+TEST_CASE("answers: every transaction gets one, in time") {
+  Stage s(plain_settings(), {listed(0)});
+  s.say("no node for the shard");
+  s.land(0, 0, 2, 5);
+  s.land(1, 2, 2, 5);
+  s.until(100.5);
+  s.say("the time-out at the cut-off is not final; a late outcome and a client that left do no harm");
+  s.land(2, 0);
+  s.land(3, 2);
+  s.until(101);
+  s.abandon(3);
+  s.until(102.5);
+  s.reply(2, Outcome::kTimedOut);
+  s.reply(3, Outcome::kHonoured, 2.0, true);
+  s.until(104);
+  CHECK(s.matches("answers"));
+}
+
+TEST_CASE("effects: only what is proved not to have run, or may run again, is sent again or turned back") {
+  Stage s(plain_settings());
+  s.say("redoable, labelled, irreversible: an error");
+  for (int i = 0; i < 3; ++i) s.land(i, i);
+  for (int i = 0; i < 3; ++i) s.reply(i, Outcome::kError);
+  s.until(100.1);
+  s.say("the labelled one again, after its window");
+  s.until(100.6);
+  s.reply(1, Outcome::kError);
+  s.until(100.7);
+  s.say("irreversible, rejected unseen");
+  s.land(4, 2);
+  s.reply(4, Outcome::kFull);
+  s.until(100.8);
+  s.reply(4, Outcome::kFull);
+  s.until(101.5);
+  CHECK(s.matches("effects"));
+}
+
+TEST_CASE("drains: nothing held goes to a node that drains; its replacement takes over") {
+  Stage s(plain_settings());
+  for (int i = 0; i < 5; ++i) s.land(i);
+  s.news(Scope::kChanges, {listed(0, 0, Listing::kDraining)});
+  s.until(100.05);
+  s.reply(0, Outcome::kHonoured);
+  s.until(100.1);
+  s.say("a new node holds the shard");
+  s.news(Scope::kChanges, {listed(0, 2)});
+  s.until(101);
+  CHECK(s.matches("drains"));
+}
+
+TEST_CASE("cold nodes: by turns first, then each its part") {
+  Settings settings = plain_settings();
+  settings.has_cold_rule = true;
+  settings.cold_units = 8;
+  settings.cold_share = 0.2;
+  settings.cold_time = 10;
+  settings.fall_time = 1;
+  settings.index = 1;
+  Stage s(settings, {listed(0, 0, Listing::kReady, 100)});
+  for (int i = 0; i < 40; ++i) {
+    s.until(100 + i * 0.3);
+    s.land(i, 0, 4);
+    s.until(100 + i * 0.3 + 0.1);
+    s.reply_all(Outcome::kHonoured);
+  }
+  CHECK(s.matches("cold"));
+}
+
+TEST_CASE("order: one at a time for a key, rested after a time-out") {
+  Settings settings = plain_settings();
+  settings.turn_gap = 0.2;
+  Stage s(settings);
+  for (int i = 0; i < 3; ++i) s.land(i, 3);
+  s.land(3, 3, 2, 0, 0, 9);
+  s.until(100.02);
+  s.reply(0, Outcome::kReset);
+  s.until(100.3);
+  s.reply(0, Outcome::kHonoured);
+  s.reply(1, Outcome::kHonoured);
+  s.until(101);
+  CHECK(s.matches("order"));
+}
+
+TEST_CASE("budget: further dispatches in any window stay within what is stated") {
+  Settings settings = plain_settings();
+  settings.has_budget = true;
+  settings.budget_free = 1;
+  settings.budget_share = 0.25;
+  settings.budget_window = 5;
+  Stage s(settings);
+  for (int i = 0; i < 8; ++i) {
+    s.until(100 + i * 0.2);
+    s.land(i);
+    s.reply(i, Outcome::kFull);
+    s.until(100 + i * 0.2 + 0.1);
+    s.reply(i, Outcome::kHonoured);
+  }
+  CHECK(s.matches("budget"));
+}
+
+TEST_CASE("limits: a slice that starts empty, fills with its part of the limit and is taken once") {
+  Settings settings = plain_settings();
+  settings.plans[0].limit = 20;
+  settings.plans[0].burst = 32;
+  Stage s(settings);
+  s.land(0, 0, 4);
+  s.until(100.39);
+  s.land(1, 0, 1);
+  s.until(100.6);
+  s.reply(1, Outcome::kFull);
+  s.until(100.7);
+  s.reply(1, Outcome::kHonoured);
+  s.until(105);
+  s.say("full");
+  for (int i = 2; i < 8; ++i) s.land(i, 0, 4, i % 2);
+  s.until(106);
+  CHECK(s.matches("limits"));
+}
+
+TEST_CASE("the list: a failed call is made again, ever more slowly") {
+  Settings settings = plain_settings();
+  settings.asks_for_list = true;
+  Stage s(settings);
+  for (int i = 0; i < 5; ++i) {
+    s.news(Scope::kFailed);
+    s.until(103 + 5 * i);
+  }
+  s.news(Scope::kChanges);
+  s.until(200);
+  CHECK(s.matches("list"));
+}
+
+TEST_CASE("silence: a node that answers nothing gets trials only, and is back with its first answer") {
+  Stage s(plain_settings());
+  for (int i = 0; i < 30; ++i) {
+    s.until(100 + i * 0.1);
+    s.land(i);
+  }
+  s.until(103.01);
+  s.say("an answer");
+  s.reply(0, Outcome::kHonoured, 0.1);
+  s.reply(1, Outcome::kHonoured, 0.1);
+  s.until(104);
+  CHECK(s.matches("silence"));
+}
--- /dev/null
+++ b/tests/stage.h
@@ -0,0 +1,136 @@
+// The helpers of the tests: a stage that plays host to one module and writes down its decisions.
+#pragma once
+
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "control.h"
+
+namespace heronworks {
+
+// Profiles: 0 redoable, 1 labelled within a cell, 2 irreversible, 3 redoable and in order.
+inline Settings plain_settings() {
+  Settings s;
+  s.seed = 7;
+  s.schedulers = 2;
+  const auto profile = [](Repeat repeat, bool in_order) {
+    Profile p;
+    p.contract = 0.4;
+    p.cut_off = 2;
+    p.benefit = 1;
+    p.label_window = 0.5;
+    p.repeat = repeat;
+    p.in_order = in_order;
+    return p;
+  };
+  s.profiles = {profile(Repeat::kRedoable, false), profile(Repeat::kLabelled, false),
+                profile(Repeat::kIrreversible, false), profile(Repeat::kRedoable, true)};
+  Plan plan;
+  plan.usual = 10;
+  plan.reservation = 5;
+  plan.weight = plan.benefit_factor = 1;
+  s.plans = {plan};
+  s.mean_units = 2;
+  s.largest_units = 8;
+  s.share_part = 0.3;
+  s.spare_part = 0.1;
+  s.dispatch_cap = 3;
+  return s;
+}
+
+inline Entry listed(int shard, int node = -1, Listing listing = Listing::kReady, double came_up = 0) {
+  return {node < 0 ? shard : node, 0, shard, listing, came_up};
+}
+
+class Stage : public Host {
+ public:
+  explicit Stage(const Settings& settings, std::vector<Entry> nodes = {listed(0), listed(1)}) {
+    control_ = std::make_unique<Control>(settings, *this, now_);
+    news(Scope::kSaved, std::move(nodes));
+  }
+
+  // Lets time pass, with the wake-ups that were asked for.
+  void until(double time) {
+    while (wake_ <= time) {
+      now_ = std::max(now_, wake_);
+      wake_ = 1e9;
+      control_->woken(now_);
+    }
+    now_ = time;
+  }
+  void land(int id, int profile = 0, double units = 2, int shard = 0, int volume = 0, std::uint64_t key = 1) {
+    Transaction t;
+    t.has_key = true;
+    t.key = key;
+    t.time_left = 2;
+    t.units = units;
+    t.volume = volume;
+    t.profile = profile;
+    t.plan = 0;
+    t.shard = shard;
+    t.hosts = 2;
+    tries_[id] = 0;
+    control_->landed(now_, id, t);
+  }
+  // The end of a transaction's latest dispatch, if it is out.
+  void reply(int id, Outcome outcome, double elapsed = 0.02, bool finished = false) {
+    if (!out_[id]) return;
+    out_[id] = false;
+    Reply r;
+    r.dispatch = tries_[id] - 1;
+    r.node = sent_to_[id];
+    r.elapsed = elapsed;
+    r.outcome = outcome;
+    r.finished = finished || outcome == Outcome::kHonoured;
+    control_->replied(now_, id, r);
+  }
+  void reply_all(Outcome outcome, double elapsed = 0.02) {
+    for (const auto& [id, out] : std::map<int, bool>(out_)) reply(id, outcome, elapsed);
+  }
+  void news(Scope scope, std::vector<Entry> nodes = {}) { control_->list_news(now_, scope, nodes); }
+  void abandon(int id) { control_->abandoned(now_, id); }
+  void say(const std::string& text) { trace_ += "-- " + text + "\n"; }
+
+  bool matches(const std::string& name) const {
+    std::ifstream file(std::string(TRACES) + name + ".txt");
+    std::stringstream kept;
+    kept << file.rdbuf();
+    if (kept.str() == trace_) return true;
+    std::printf("trace %s is now:\n%s", name.c_str(), trace_.c_str());
+    return false;
+  }
+
+  void dispatch(int id, int node, double) override {
+    tries_[id] += 1;
+    sent_to_[id] = node;
+    out_[id] = true;
+    write("dispatch", id, " to node " + std::to_string(node));
+  }
+  void turn_back(int id, double) override { write("turn back", id); }
+  void give_up(int id) override { write("give up", id); }
+  void forget(int) override {}
+  void watch_list() override { write("watch the list"); }
+  void wake_at(double time) override { wake_ = std::min(wake_, time); }
+
+ private:
+  void write(const std::string& what, int id = -1, const std::string& more = "") {
+    char text[32];
+    std::snprintf(text, sizeof text, "%.2f ", now_);
+    trace_ += text + what + (id < 0 ? "" : " " + std::to_string(id)) + more + "\n";
+  }
+
+  double now_ = 100;
+  double wake_ = 1e9;
+  std::string trace_;
+  std::map<int, int> tries_;
+  std::map<int, int> sent_to_;
+  std::map<int, bool> out_;
+  std::unique_ptr<Control> control_;
+};
+
+}  // namespace heronworks
