Order what is held by benefit a unit, time left counting little

Cause: ordering by benefit over time left served the long exports in full and a third of the short reads.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -32,7 +32,7 @@
 constexpr double kLatencyGain = 0.2;     // weight of the newest reply in a node's recent latency
 constexpr double kSweep = 0.01;          // s between two looks at what is held
 constexpr double kAnswerMargin = 0.03;   // s before the cut-off at which a held transaction is answered
-constexpr double kLeastSlack = 0.05;     // s: transactions closer than this to their contract time are equal
+constexpr double kSlackUnit = 2.0;       // s: how little the time left counts beside the benefit
 constexpr double kSilentAfter = 1.0;     // s without any reply while dispatches are out
 constexpr double kTrialEvery = 0.5;      // s between two trials of a silent node
 constexpr double kAgainPause = 0.03;     // s before a further dispatch, times the dispatches so far
@@ -294,7 +294,7 @@
     const double part = std::max(settings_.spare_part, settings_.share_part / (1 + over));
     value *= plan.benefit_factor * (v.reserve > 0 ? 1 : part);
   }
-  return value / std::max(o.contract_at - now, kLeastSlack);
+  return value / (kSlackUnit + std::max(o.contract_at - now, 0.0));
 }
 
 // The final answer for a transaction that is not to be served. At once, never held back.
