--- a/src/control.cpp
+++ b/src/control.cpp
@@ -141,6 +141,7 @@
     node.bucket_units += o.t.units;
     node.bucket_replies += 1;
     node.latency += kLatencyGain * (r.elapsed - node.latency);
+    node.wait += kLatencyGain * (r.elapsed - node.best * o.t.units - node.wait);
     v.mine += o.t.units;
   }
   node.success += kAgainGain * ((honoured ? 1 : 0) - node.success);
@@ -266,13 +267,14 @@
     Open& o = open_[at(id)];
     const int index = o.t.shard < 0 ? -1 : place(now, o);
     const bool full = index >= 0 && nodes_[at(index)].full;
-    const bool late = index >= 0 && nodes_[at(index)].out > 0 && now + nodes_[at(index)].latency >= o.contract_at;
-    const Verdict verdict = full || late ? Verdict::kNodeFull : decide(now, id);
-    if (verdict == Verdict::kNodeFull && !late && index >= 0) nodes_[at(index)].full = true;
     // Danger: work that can no longer keep its contract time makes the next miss theirs. It goes only to a node
     // with nothing out, which also finds out when an old latency no longer holds.
-    const double latency = index >= 0 ? nodes_[at(index)].latency : 0;
-    if (o.held && now + latency >= o.contract_at) answer(now, id);
+    const Node* node = index >= 0 ? &nodes_[at(index)] : nullptr;
+    const double latency = node ? std::max(node->wait, 0.0) + node->best * o.t.units : 0;
+    const bool late = now + latency >= o.contract_at;
+    const Verdict verdict = full || (late && node && node->out > 0) ? Verdict::kNodeFull : decide(now, id);
+    if (verdict == Verdict::kNodeFull && !late && index >= 0) nodes_[at(index)].full = true;
+    if (o.held && late) answer(now, id);
   }
   std::erase_if(held_, [&](int id) { return !open_[at(id)].held; });
 
--- a/src/state.h
+++ b/src/state.h
@@ -88,6 +88,7 @@
   int buckets = 0;
   double best = 0;
   double latency = 0;  // recent, of a whole dispatch
+  double wait = 0;     // recent, what is over the best for its units
   double success = 1;
   double again_success = 1;
   double weight = 0;
