--- a/src/control.cpp
+++ b/src/control.cpp
@@ -86,7 +86,7 @@
     Node& node = node_at(e.node);
     if (node.listed && e.came_up > node.came_up) {  // a new process: what was learned of the old one is void
       node.buckets = 0;
-      node.bucket_units = node.bucket_time = 0;
+      node.bucket_units = node.bucket_time = node.bucket_replies = 0;
       node.success = node.again_success = 1;
     }
     node.listed = true;
@@ -274,7 +274,7 @@
     const bool late = now + latency >= o.contract_at;
     const Verdict verdict = full || (late && node && node->out > 0) ? Verdict::kNodeFull : decide(now, id);
     if (verdict == Verdict::kNodeFull && !late && index >= 0) nodes_[at(index)].full = true;
-    if (o.held && late) answer(now, id);
+    if (o.held && (late || now + kAnswerMargin >= o.cut_off_at)) answer(now, id);
   }
   std::erase_if(held_, [&](int id) { return !open_[at(id)].held; });
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -178,3 +178,14 @@
   s.until(104);
   CHECK(s.matches("silence"));
 }
+
+TEST_CASE("restart of a node between two looks at its latency: what waits for it still gets an answer in time") {
+  Stage s(plain_settings());
+  for (int i = 0; i < 3; ++i) s.land(i);
+  s.reply_all(Outcome::kHonoured);
+  s.news(Scope::kChanges, {listed(0, 0, Listing::kReady, 100)});
+  s.until(101.5);
+  for (int i = 3; i < 9; ++i) s.land(i);
+  s.until(104);
+  CHECK(s.matches("restart"));
+}
