--- a/src/control.cpp
+++ b/src/control.cpp
@@ -134,6 +134,7 @@
   node.out -= 1;
   node.units_out -= o.t.units;
   if (!may_still_run) node.quiet_since = now;
+  if (!may_still_run) node.down = r.outcome == Outcome::kNoConnection;
   Volume& v = volume_of(now, o.t);
   if (honoured) {
     node.served += o.t.units;
@@ -449,7 +450,7 @@
 }
 
 bool Control::is_silent(double now, const Node& node) const {
-  return node.out > 0 && now - node.quiet_since > kSilentAfter;
+  return node.down || (node.out > 0 && now - node.quiet_since > kSilentAfter);
 }
 
 bool Control::is_cold(double now, const Node& node) const {
--- a/src/state.h
+++ b/src/state.h
@@ -77,6 +77,7 @@
   double units_out = 0;
   double quiet_since = 0;
   double last_sent = 0;
+  bool down = false;  // the last that came of it was a refused connection
   double rate = 0;  // learned, units a second
   double served = 0;
   bool pressed = false;  // the bound was reached in this period
