--- a/src/control.cpp
+++ b/src/control.cpp
@@ -30,6 +30,7 @@
 constexpr double kKeep = 0.7;            // a second: what is kept of a volume's told and own service
 constexpr double kRateKeep = 0.7;        // a second: what is kept of the learned rate while the bound is reached
 constexpr double kLatencyGain = 0.2;     // weight of the newest reply in a node's recent latency
+constexpr double kLeastFall = 4;         // power; steep, so that the latency of a crowd stays near the aim
 constexpr double kSweep = 0.01;          // s between two looks at what is held
 constexpr double kAnswerMargin = 0.03;   // s before the cut-off at which a held transaction is answered
 constexpr double kSlackUnit = 2.0;       // s: how little the time left counts beside the benefit
@@ -269,11 +270,11 @@
     const int index = o.t.shard < 0 ? -1 : place(now, o);
     const bool full = index >= 0 && nodes_[at(index)].full;
     // Danger: work that can no longer keep its contract time makes the next miss theirs. It goes only to a node
-    // with nothing out, which also finds out when an old latency no longer holds.
+    // that was sent nothing for a while, as a trial that finds out when an old latency no longer holds.
     const Node* node = index >= 0 ? &nodes_[at(index)] : nullptr;
     const double latency = node ? std::max(node->wait, 0.0) + node->best * o.t.units : 0;
     const bool late = now + latency >= o.contract_at;
-    const Verdict verdict = full || (late && node && node->out > 0) ? Verdict::kNodeFull : decide(now, id);
+    const Verdict verdict = full || (late && node && now - node->last_sent < kTrialEvery) ? Verdict::kNodeFull : decide(now, id);
     if (verdict == Verdict::kNodeFull && !late && index >= 0) nodes_[at(index)].full = true;
     if (o.held && (late || now + kAnswerMargin >= o.cut_off_at)) answer(now, id);
   }
@@ -442,11 +443,14 @@
   // at a time goes there until it replies. May hurt at a node that serves nothing but very long work.
   if (is_silent(now, node)) return now - node.last_sent >= kTrialEvery;
   // Danger: the least number from each of many hosts is more than a node serves in the contract time. So while
-  // the recent latency is over the bound's own aim, the least falls in the same measure. Acts on any crowd: many
-  // hosts, a slow or a small node. May hurt where a few very long transactions raise the latency.
+  // the recent latency is over the bound's own aim, the least falls steeply; under one, a pause follows each
+  // reply. Acts on any crowd: many hosts, a slow or a small node. May hurt where a few very long transactions
+  // raise the latency.
   const double aim = kAimPart * tightest_;
-  const int least = node.latency > aim ? std::max(1, static_cast<int>(kLeastOut * aim / node.latency)) : kLeastOut;
-  return node.out < least || node.units_out + units <= node.rate * aim;
+  if (node.units_out + units <= node.rate * aim) return true;
+  const double least = kLeastOut * std::pow(std::min(1.0, aim / node.latency), kLeastFall);
+  if (least >= 1) return node.out < static_cast<int>(least);
+  return node.out == 0 && now - node.quiet_since >= std::min(node.latency * (1 / least - 1), kTrialEvery);
 }
 
 bool Control::is_silent(double now, const Node& node) const {
