--- a/src/control.cpp
+++ b/src/control.cpp
@@ -30,7 +30,7 @@
 constexpr double kKeep = 0.7;            // a second: what is kept of a volume's told and own service
 constexpr double kRateKeep = 0.7;        // a second: what is kept of the learned rate while the bound is reached
 constexpr double kLatencyGain = 0.2;     // weight of the newest reply in a node's recent latency
-constexpr double kLeastFall = 2;         // power; steep, so that the latency of a crowd stays near the aim
+constexpr double kLeastFall = 4;         // power; steep, so that the latency of a crowd stays near the aim
 constexpr double kSweep = 0.01;          // s between two looks at what is held
 constexpr double kAnswerMargin = 0.03;   // s before the cut-off at which a held transaction is answered
 constexpr double kSlackUnit = 2.0;       // s: how little the time left counts beside the benefit
@@ -274,7 +274,7 @@
     const Node* node = index >= 0 ? &nodes_[at(index)] : nullptr;
     const double latency = node ? std::max(node->wait, 0.0) + node->best * o.t.units : 0;
     const bool late = now + latency >= o.contract_at;
-    const Verdict verdict = full || (late && node && now - node->last_sent < kTrialEvery) ? Verdict::kNodeFull : decide(now, id);
+    const Verdict verdict = full || (late && node && (node->out > 0 || now - node->last_sent < kTrialEvery)) ? Verdict::kNodeFull : decide(now, id);
     if (verdict == Verdict::kNodeFull && !late && index >= 0) nodes_[at(index)].full = true;
     if (o.held && (late || now + kAnswerMargin >= o.cut_off_at)) answer(now, id);
   }
