Keep half of the bound from work worth less than what was just turned back

Cause: long cheap transactions wait out the short reads and take every opening, reads come to a full node.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -34,6 +34,8 @@
 constexpr double kSweep = 0.01;          // s between two looks at what is held
 constexpr double kAnswerMargin = 0.03;   // s before the cut-off at which a held transaction is answered
 constexpr double kSlackUnit = 2.0;       // s: how little the time left counts beside the benefit
+constexpr double kLostTime = 1.0;        // s for which a node remembers what was turned back
+constexpr double kCheapPart = 0.5;       // part of the bound for what is worth less than that
 constexpr double kSilentAfter = 1.0;     // s without any reply while dispatches are out
 constexpr double kTrialEvery = 0.5;      // s between two trials of a silent node
 constexpr double kAgainPause = 0.03;     // s before a further dispatch, times the dispatches so far
@@ -229,7 +231,7 @@
   if (load(node) >= kThreshold && over_gear(v) && v.pace < 0) return Verdict::kHeld;
 
   // Our bound on units out.
-  if (!has_room(now, node, o.t.units)) {
+  if (!has_room(now, node, o.t.units, o.worth)) {
     node.pressed = true;
     return Verdict::kNodeFull;
   }
@@ -261,7 +263,10 @@
 void Control::serve(double now) {
   order_.clear();
   for (int id : held_) {
-    if (open_[at(id)].held) order_.push_back({worth(now, open_[at(id)]), id});
+    Open& o = open_[at(id)];
+    if (!o.held) continue;
+    o.worth = worth(now, o);
+    order_.push_back({o.worth / (kSlackUnit + std::max(o.contract_at - now, 0.0)), id});
   }
   std::stable_sort(order_.begin(), order_.end(), [](auto& a, auto& b) { return a.first > b.first; });
   for (Node& node : nodes_) node.full = false;
@@ -276,7 +281,12 @@
     const bool late = now + latency >= o.contract_at;
     const Verdict verdict = full || (late && node && (node->out > 0 || now - node->last_sent < kTrialEvery)) ? Verdict::kNodeFull : decide(now, id);
     if (verdict == Verdict::kNodeFull && !late && index >= 0) nodes_[at(index)].full = true;
-    if (o.held && (late || now + kAnswerMargin >= o.cut_off_at)) answer(now, id);
+    if (!o.held || (!late && now + kAnswerMargin < o.cut_off_at)) continue;
+    if (index >= 0 && (o.worth >= node->lost || now >= nodes_[at(index)].lost_until)) {
+      nodes_[at(index)].lost = o.worth;
+      nodes_[at(index)].lost_until = now + kLostTime;
+    }
+    answer(now, id);
   }
   std::erase_if(held_, [&](int id) { return !open_[at(id)].held; });
 
@@ -287,18 +297,15 @@
   }
 }
 
-// What a dispatch now would earn for each unit, the closer to its contract time the more pressing.
+// What a dispatch now would earn for each unit.
 double Control::worth(double now, const Open& o) {
   const Profile& profile = settings_.profiles[at(o.t.profile)];
-  double value = profile.benefit;
-  if (o.t.plan >= 0) {
-    const Plan& plan = settings_.plans[at(o.t.plan)];
-    const Volume& v = volume_of(now, o.t);
-    const double over = v.extra / std::max(cap(v, 0), 1e-9);
-    const double part = std::max(settings_.spare_part, settings_.share_part / (1 + over));
-    value *= plan.benefit_factor * (v.reserve > 0 ? 1 : part);
-  }
-  return value / (kSlackUnit + std::max(o.contract_at - now, 0.0));
+  if (o.t.plan < 0) return profile.benefit;
+  const Plan& plan = settings_.plans[at(o.t.plan)];
+  const Volume& v = volume_of(now, o.t);
+  const double over = v.extra / std::max(cap(v, 0), 1e-9);
+  const double part = std::max(settings_.spare_part, settings_.share_part / (1 + over));
+  return profile.benefit * plan.benefit_factor * (v.reserve > 0 ? 1 : part);
 }
 
 // The final answer for a transaction that is not to be served. At once, never held back.
@@ -403,7 +410,7 @@
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     Node& node = nodes_[i];
     node.weight = 0;
-    if (node.listing != Listing::kReady || !has_room(now, node, o.t.units) || is_silent(now, node) ||
+    if (node.listing != Listing::kReady || !has_room(now, node, o.t.units, o.worth) || is_silent(now, node) ||
         cold_room(now, node) < o.t.units) {
       continue;
     }
@@ -437,7 +444,7 @@
   return node.buckets > 0 ? 1 - node.best / unit_time(node) : 0;
 }
 
-bool Control::has_room(double now, const Node& node, double units) const {
+bool Control::has_room(double now, const Node& node, double units, double worth) const {
   if (node.out >= kMostOut) return false;
   // Danger: a node that takes work and answers none; also a dead process that the list still names. One trial
   // at a time goes there until it replies. May hurt at a node that serves nothing but very long work.
@@ -446,9 +453,10 @@
   // the recent latency is over the bound's own aim, the least falls steeply; under one, a pause follows each
   // reply. Acts on any crowd: many hosts, a slow or a small node. May hurt where a few very long transactions
   // raise the latency.
-  const double aim = kAimPart * tightest_;
+  const double part = now < node.lost_until && worth < node.lost ? kCheapPart : 1;
+  const double aim = part * kAimPart * tightest_;
   if (node.units_out + units <= node.rate * aim) return true;
-  const double least = kLeastOut * std::pow(std::min(1.0, aim / node.latency), kLeastFall);
+  const double least = part * kLeastOut * std::pow(std::min(1.0, aim / node.latency), kLeastFall);
   if (least >= 1) return node.out < static_cast<int>(least);
   return node.out == 0 && now - node.quiet_since >= std::min(node.latency * (1 / least - 1), kTrialEvery);
 }
--- a/src/control.h
+++ b/src/control.h
@@ -53,7 +53,7 @@
   void rotated(int picked);
   double unit_time(const Node& node) const;
   double load(const Node& node) const;
-  bool has_room(double now, const Node& node, double units) const;
+  bool has_room(double now, const Node& node, double units, double worth) const;
   bool is_silent(double now, const Node& node) const;
   bool is_cold(double now, const Node& node) const;
   double cold_room(double now, Node& node) const;
--- a/src/state.h
+++ b/src/state.h
@@ -51,6 +51,7 @@
   double contract_at = 0;
   double cut_off_at = 0;
   double not_before = 0;
+  double worth = 0;  // a unit, at the last look
   double label_until = 0;  // end of the repeat window, counted from the first dispatch that may have run
   int node = -1;           // where it was last sent
   int first_node = -1;     // of the first dispatch that may have run
@@ -77,6 +78,8 @@
   double units_out = 0;
   double quiet_since = 0;
   double last_sent = 0;
+  double lost = 0;        // the most that was turned back here lately, a unit
+  double lost_until = 0;  // when that is forgotten
   bool down = false;  // the last that came of it was a refused connection
   double rate = 0;  // learned, units a second
   double served = 0;
