Cap what one reply may say of a node's latency

Cause: a heavy transaction or a flush pause raised the recent latency so that the least out fell and short work was turned away for several replies.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -31,10 +31,11 @@
 constexpr double kRateKeep = 0.7;        // a second: what is kept of the learned rate while the bound is reached
 constexpr double kLatencyGain = 0.2;     // weight of the newest reply in a node's recent latency
 constexpr double kLeastFall = 4;         // power; steep, so that the latency of a crowd stays near the aim
+constexpr double kMostJump = 2;          // latency that one reply may tell, in recent latencies
 constexpr double kSweep = 0.01;          // s between two looks at what is held
 constexpr double kAnswerMargin = 0.03;   // s before the cut-off at which a held transaction is answered
 constexpr double kSlackUnit = 2.0;       // s: how little the time left counts beside the benefit
-constexpr double kLostTime = 0.4;        // s for which a node remembers what was turned back
+constexpr double kLostTime = 1.0;        // s for which a node remembers what was turned back
 constexpr double kCheapPart = 0.5;       // part of the bound for what is worth less than that
 constexpr double kSilentAfter = 1.0;     // s without any reply while dispatches are out
 constexpr double kTrialEvery = 0.5;      // s between two trials of a silent node
@@ -144,8 +145,10 @@
     node.bucket_time += r.elapsed;
     node.bucket_units += o.t.units;
     node.bucket_replies += 1;
-    node.latency += kLatencyGain * (r.elapsed - node.latency);
-    node.wait += kLatencyGain * (r.elapsed - node.best * o.t.units - node.wait);
+    // Danger: one very heavy transaction, or a pause, looks like a long queue. What one reply may say is capped.
+    const double seen = std::min(r.elapsed, kMostJump * std::max(node.latency, kAimPart * tightest_));
+    node.latency += kLatencyGain * (seen - node.latency);
+    node.wait += kLatencyGain * (seen - node.best * o.t.units - node.wait);
     v.mine += o.t.units;
   }
   node.success += kAgainGain * ((honoured ? 1 : 0) - node.success);
