--- a/src/control.cpp
+++ b/src/control.cpp
@@ -31,7 +31,7 @@
 constexpr double kRateKeep = 0.7;        // a second: what is kept of the learned rate while the bound is reached
 constexpr double kLatencyGain = 0.2;     // weight of the newest reply in a node's recent latency
 constexpr double kLeastFall = 4;         // power; steep, so that the latency of a crowd stays near the aim
-constexpr double kMostJump = 1.5;        // latency that one reply may tell, in recent latencies
+constexpr double kMostJump = 2;          // latency that one reply may tell, in recent latencies
 constexpr double kSweep = 0.01;          // s between two looks at what is held
 constexpr double kAnswerMargin = 0.03;   // s before the cut-off at which a held transaction is answered
 constexpr double kSlackUnit = 2.0;       // s: how little the time left counts beside the benefit
@@ -63,6 +63,13 @@
       ask_at_(kNever),
       longest_(settings_.profiles.size()),
       budget_(kBudgetSlots + 1) {
+  double rates = 0;
+  double weights = 0;
+  for (const Plan& p : settings_.plans) {
+    rates += std::max(p.usual, p.reservation);
+    weights += p.weight;
+  }
+  unit_share_ = weights > 0 ? rates / weights : 0;
   for (const Profile& p : settings_.profiles) tightest_ = std::min(tightest_, p.contract);
   if (settings_.asks_for_list) ask_for_list(now);
   serve(now);
@@ -306,7 +313,7 @@
   if (o.t.plan < 0) return profile.benefit;
   const Plan& plan = settings_.plans[at(o.t.plan)];
   const Volume& v = volume_of(now, o.t);
-  const double over = v.extra / std::max(cap(v, 0), 1e-9);
+  const double over = v.extra / std::max(plan.weight * unit_share_, 1e-9);
   const double part = std::max(settings_.spare_part, settings_.share_part / (1 + over));
   return profile.benefit * plan.benefit_factor * (v.reserve > 0 ? 1 : part);
 }
--- a/src/control.h
+++ b/src/control.h
@@ -69,6 +69,7 @@
   std::minstd_rand random_;
   const double started_;
   double tightest_;
+  double unit_share_ = 0;  // usual units a second for one of weight
   double next_wake_ = 0;
   double second_at_;
   double ask_at_;
