--- a/src/control.cpp
+++ b/src/control.cpp
@@ -35,6 +35,7 @@
 constexpr double kSweep = 0.01;          // s between two looks at what is held
 constexpr double kAnswerMargin = 0.03;   // s before the cut-off at which a held transaction is answered
 constexpr double kSlackUnit = 2.0;       // s: how little the time left counts beside the benefit
+constexpr double kSameCutOff = 0.01;     // s by which the cut-offs of a try and its repeat may differ
 constexpr double kLostTime = 1.0;        // s for which a node remembers what was turned back
 constexpr double kCheapPart = 0.5;       // part of the bound for what is worth less than that
 constexpr double kSilentAfter = 1.0;     // s without any reply while dispatches are out
@@ -61,7 +62,6 @@
       tightest_(kNever),
       second_at_(now + kPeriod),
       ask_at_(kNever),
-      longest_(settings_.profiles.size()),
       budget_(kBudgetSlots + 1) {
   double rates = 0;
   double weights = 0;
@@ -117,11 +117,15 @@
   o.t = t;
   o.landed = now;
   o.cut_off_at = now + t.time_left;
-  // A client's repeat comes with less time than a first try, and its contract time began with the first.
+  // The contract time of a client's repeat began with its first try. Danger: clients in a hurry bring little time
+  // on a first try too; so a repeat is known by what it is about and by the same cut-off as one answered before.
   const Profile& profile = settings_.profiles[at(t.profile)];
-  double& longest = longest_[at(t.profile)];
-  longest = std::max(longest, t.time_left);
-  o.contract_at = std::min(now + profile.contract - (longest - t.time_left), o.cut_off_at);
+  o.contract_at = std::min(now + profile.contract, o.cut_off_at);
+  const auto past = t.has_key ? past_.find(t.key) : past_.end();
+  if (past != past_.end() && past->second.volume == t.volume && past->second.profile == t.profile &&
+      std::abs(past->second.cut_off_at - o.cut_off_at) < kSameCutOff) {
+    o.contract_at = past->second.contract_at;
+  }
   budget_slot(now).landed += 1;
   Volume& v = volume_of(now, t);
   v.arrived += t.units;
@@ -326,6 +330,7 @@
   const bool harmless = (!o.may_have_run && o.out == 0) || profile.repeat == Repeat::kRedoable || labelled;
   o.held = false;
   o.over = true;
+  if (o.t.has_key) past_[o.t.key] = {o.t.volume, o.t.profile, o.cut_off_at, o.contract_at};
   if (now >= o.cut_off_at || !harmless) {
     host_.give_up(id);
   } else {
@@ -585,6 +590,7 @@
       node.best = node.buckets == 1 ? recent : std::min(node.best * kBestDrift, recent);
     }
   }
+  std::erase_if(past_, [&](const auto& p) { return now >= p.second.cut_off_at; });
   std::erase_if(lanes_, [&](const auto& l) { return l.second.line.empty() && now >= l.second.rest_until; });
 }
 
--- a/src/control.h
+++ b/src/control.h
@@ -79,7 +79,7 @@
   std::vector<std::pair<double, int>> order_;  // scratch of serve()
   std::vector<Node> nodes_;      // by node; as many as were listed since the start
   std::vector<Volume> volumes_;  // by volume; as many as there are
-  std::vector<double> longest_;  // by profile: the longest time that a client allowed
+  std::map<std::uint64_t, Past> past_;  // by key: answered unserved; erased at the cut-off
   std::vector<Bucket> budget_;   // a ring over the budget's window
   std::map<std::uint64_t, Lane> lanes_;  // by key; erased when idle and rested
 };
--- a/src/state.h
+++ b/src/state.h
@@ -118,6 +118,13 @@
   double filled_at = 0;
 };
 
+struct Past {
+  int volume = 0;
+  int profile = 0;
+  double cut_off_at = 0;
+  double contract_at = 0;
+};
+
 struct Lane {
   std::vector<int> line;
   double rest_until = 0;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -189,3 +189,19 @@
   s.until(104);
   CHECK(s.matches("restart"));
 }
+
+TEST_CASE("hurry: little time left is a client in a hurry, unless it is the repeat of what was turned back") {
+  Stage s(plain_settings(), {listed(0)});
+  s.land(0, 0, 2, 5, 0, 1);
+  s.until(100.5);
+  s.say("its repeat, a node at hand by now");
+  s.news(Scope::kChanges, {listed(5)});
+  for (int i = 1; i < 5; ++i) s.land(i, 0, 2, 5, 0, 2);
+  s.land(5, 0, 2, 5, 0, 1, 1.5);
+  s.until(100.6);
+  s.say("in a hurry, with the same time left");
+  s.land(6, 0, 2, 5, 0, 3, 1.4);
+  s.reply_all(Outcome::kHonoured);
+  s.until(102);
+  CHECK(s.matches("hurry"));
+}
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -63,11 +63,12 @@
     }
     now_ = time;
   }
-  void land(int id, int profile = 0, double units = 2, int shard = 0, int volume = 0, std::uint64_t key = 1) {
+  void land(int id, int profile = 0, double units = 2, int shard = 0, int volume = 0, std::uint64_t key = 1,
+            double left = 2) {
     Transaction t;
     t.has_key = true;
     t.key = key;
-    t.time_left = 2;
+    t.time_left = left;
     t.units = units;
     t.volume = volume;
     t.profile = profile;
