--- a/src/control.cpp
+++ b/src/control.cpp
@@ -32,6 +32,7 @@
 constexpr double kLatencyGain = 0.2;     // weight of the newest reply in a node's recent latency
 constexpr double kLeastFall = 4;         // power; steep, so that the latency of a crowd stays near the aim
 constexpr double kMostJump = 2;          // latency that one reply may tell, in recent latencies
+constexpr double kWaitMargin = 1.4;      // recent waits that a transaction must still have time for
 constexpr double kSweep = 0.01;          // s between two looks at what is held
 constexpr double kAnswerMargin = 0.03;   // s before the cut-off at which a held transaction is answered
 constexpr double kSlackUnit = 2.0;       // s: how little the time left counts beside the benefit
@@ -291,7 +292,7 @@
     // Danger: work that can no longer keep its contract time makes the next miss theirs. It goes only to a node
     // that was sent nothing for a while, as a trial that finds out when an old latency no longer holds.
     const Node* node = index >= 0 ? &nodes_[at(index)] : nullptr;
-    const double latency = node ? std::max(node->wait, 0.0) + node->best * o.t.units : 0;
+    const double latency = node ? kWaitMargin * std::max(node->wait, 0.0) + node->best * o.t.units : 0;
     const bool late = now + latency >= o.contract_at;
     const Verdict verdict = full || (late && node && (node->out > 0 || now - node->last_sent < kTrialEvery)) ? Verdict::kNodeFull : decide(now, id);
     if (verdict == Verdict::kNodeFull && !late && index >= 0) nodes_[at(index)].full = true;
