--- a/src/control.cpp
+++ b/src/control.cpp
@@ -38,8 +38,7 @@
 constexpr double kSlackUnit = 2.0;       // s: how little the time left counts beside the benefit
 constexpr double kSameCutOff = 0.01;     // s by which the cut-offs of a try and its repeat may differ
 constexpr double kLostTime = 1.0;        // s for which a node remembers what was turned back
-constexpr double kCheapTop = 0.7;        // part of the bound for what is worth nearly as much
-constexpr double kCheapPart = 0.3;       // part of the bound for what is worth less than that
+constexpr double kCheapPart = 0.5;       // part of the bound for what is worth less than that
 constexpr double kSilentAfter = 1.0;     // s without any reply while dispatches are out
 constexpr double kTrialEvery = 0.5;      // s between two trials of a silent node
 constexpr double kAgainPause = 0.03;     // s before a further dispatch, times the dispatches so far
@@ -470,8 +469,7 @@
   // the recent latency is over the bound's own aim, the least falls steeply; under one, a pause follows each
   // reply. Acts on any crowd: many hosts, a slow or a small node. May hurt where a few very long transactions
   // raise the latency.
-  const double part =
-      now < node.lost_until && worth < node.lost ? std::max(kCheapPart, kCheapTop * worth / node.lost) : 1;
+  const double part = now < node.lost_until && worth < node.lost ? kCheapPart : 1;
   const double aim = part * kAimPart * tightest_;
   if (node.units_out + units <= node.rate * aim) return true;
   const double least = part * kLeastOut * std::pow(std::min(1.0, aim / node.latency), kLeastFall);
