--- a/src/control.cpp
+++ b/src/control.cpp
@@ -281,7 +281,7 @@
     Open& o = open_[at(id)];
     if (!o.held) continue;
     o.worth = worth(now, o);
-    order_.push_back({o.worth / (kSlackUnit + std::max(o.contract_at - now, 0.0)), id});
+    order_.push_back({o.worth * (kSlackUnit + std::max(o.contract_at - now, 0.0)), id});
   }
   std::stable_sort(order_.begin(), order_.end(), [](auto& a, auto& b) { return a.first > b.first; });
   for (Node& node : nodes_) node.full = false;
