--- a/src/control.cpp
+++ b/src/control.cpp
@@ -36,6 +36,7 @@
 constexpr double kSweep = 0.01;          // s between two looks at what is held
 constexpr double kAnswerMargin = 0.03;   // s before the cut-off at which a held transaction is answered
 constexpr double kSlackUnit = 2.0;       // s: how little the time left counts beside the benefit
+constexpr double kLateCounts = 0.5;      // part of the benefit from which a late answer is worth its work
 constexpr double kSameCutOff = 0.01;     // s by which the cut-offs of a try and its repeat may differ
 constexpr double kLostTime = 1.0;        // s for which a node remembers what was turned back
 constexpr double kCheapPart = 0.5;       // part of the bound for what is worth less than that
@@ -60,6 +61,7 @@
       host_(host),
       random_(static_cast<std::minstd_rand::result_type>(settings_.seed % 2147483647)),
       started_(now),
+      answer_margin_(kAnswerMargin + 2 * settings_.resolution),
       tightest_(kNever),
       second_at_(now + kPeriod),
       ask_at_(kNever),
@@ -116,12 +118,12 @@
   o = Open{};
   o.used = true;
   o.t = t;
-  o.landed = now;
   o.cut_off_at = now + t.time_left;
   // The contract time of a client's repeat began with its first try. Danger: clients in a hurry bring little time
   // on a first try too; so a repeat is known by what it is about and by the same cut-off as one answered before.
   const Profile& profile = settings_.profiles[at(t.profile)];
-  o.contract_at = std::min(now + profile.contract, o.cut_off_at);
+  const bool late_counts = profile.late_part >= kLateCounts;
+  o.contract_at = std::min(now + (late_counts ? profile.cut_off : profile.contract), o.cut_off_at);
   const auto past = t.has_key ? past_.find(t.key) : past_.end();
   if (past != past_.end() && past->second.volume == t.volume && past->second.profile == t.profile &&
       std::abs(past->second.cut_off_at - o.cut_off_at) < kSameCutOff) {
@@ -179,7 +181,7 @@
   if (r.finished || o.over) {
     o.over = true;
     close(id);
-  } else if (r.outcome == Outcome::kMoot || now + kAnswerMargin >= o.cut_off_at || !may_go_again(now, o, node) ||
+  } else if (r.outcome == Outcome::kMoot || now + answer_margin_ >= o.cut_off_at || !may_go_again(now, o, node) ||
              !again_wanted(o, node)) {
     answer(now, id);
   } else {
@@ -213,7 +215,7 @@
 Control::Verdict Control::decide(double now, int id) {
   Open& o = open_[at(id)];
   const Profile& profile = settings_.profiles[at(o.t.profile)];
-  if (now + kAnswerMargin >= o.cut_off_at) {
+  if (now + answer_margin_ >= o.cut_off_at) {
     answer(now, id);
     return Verdict::kGone;
   }
@@ -264,8 +266,7 @@
   node.units_out += o.t.units;
   if (o.dispatches > 0) budget_slot(now).again += 1;
   if (!o.may_have_run) {
-    o.label_until = now + profile.label_window - kAnswerMargin;
-    o.node = index;
+    o.label_until = now + profile.label_window - answer_margin_;
   }
   o.dispatches += 1;
   o.out += 1;
@@ -281,7 +282,7 @@
     Open& o = open_[at(id)];
     if (!o.held) continue;
     o.worth = worth(now, o);
-    order_.push_back({o.worth * (kSlackUnit + std::max(o.contract_at - now, 0.0)), id});
+    order_.push_back({o.worth / (kSlackUnit + std::max(o.contract_at - now, 0.0)), id});
   }
   std::stable_sort(order_.begin(), order_.end(), [](auto& a, auto& b) { return a.first > b.first; });
   for (Node& node : nodes_) node.full = false;
@@ -296,7 +297,7 @@
     const bool late = now + latency >= o.contract_at;
     const Verdict verdict = full || (late && node && (node->out > 0 || now - node->last_sent < kTrialEvery)) ? Verdict::kNodeFull : decide(now, id);
     if (verdict == Verdict::kNodeFull && !late && index >= 0) nodes_[at(index)].full = true;
-    if (!o.held || (!late && now + kAnswerMargin < o.cut_off_at)) continue;
+    if (!o.held || (!late && now + answer_margin_ < o.cut_off_at)) continue;
     if (index >= 0 && (o.worth >= node->lost || now >= nodes_[at(index)].lost_until)) {
       nodes_[at(index)].lost = o.worth;
       nodes_[at(index)].lost_until = now + kLostTime;
--- a/src/control.h
+++ b/src/control.h
@@ -68,6 +68,7 @@
   Host& host_;
   std::minstd_rand random_;
   const double started_;
+  const double answer_margin_;
   double tightest_;
   double unit_share_ = 0;  // usual units a second for one of weight
   double next_wake_ = 0;
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -117,8 +117,7 @@
   s.seed = static_cast<std::uint64_t>(line.integer("rng-seed"));
   s.index = static_cast<int>(line.integer("index", 0));
   s.schedulers = static_cast<int>(line.integer("balancers", 1));
-  s.mean_units = line.number("family-info.mean-units", 1.0);
-  s.largest_units = line.number("family-info.largest", s.mean_units);
+  s.largest_units = line.number("family-info.largest", 1.0);
   s.share_part = line.number("family-info.share-worth", 1.0);
   s.spare_part = line.number("family-info.spare-worth", 1.0);
   s.dispatch_cap = static_cast<int>(line.integer("allowed.attempts-cap", 1));
--- a/src/settings.h
+++ b/src/settings.h
@@ -36,7 +36,6 @@
   int schedulers = 0;
   std::vector<Profile> profiles;
   std::vector<Plan> plans;
-  double mean_units = 0;
   double largest_units = 0;
   double share_part = 0;
   double spare_part = 0;
--- a/src/state.h
+++ b/src/state.h
@@ -47,13 +47,11 @@
 // The tables of the module.
 struct Open {
   Transaction t;
-  double landed = 0;
   double contract_at = 0;
   double cut_off_at = 0;
   double not_before = 0;
   double worth = 0;  // a unit, at the last look
   double label_until = 0;  // end of the repeat window, counted from the first dispatch that may have run
-  int node = -1;           // where it was last sent
   int first_node = -1;     // of the first dispatch that may have run
   int dispatches = 0;
   int out = 0;
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -35,7 +35,6 @@
   plan.reservation = 5;
   plan.weight = plan.benefit_factor = 1;
   s.plans = {plan};
-  s.mean_units = 2;
   s.largest_units = 8;
   s.share_part = 0.3;
   s.spare_part = 0.1;
