--- a/src/control.cpp
+++ b/src/control.cpp
@@ -17,8 +17,8 @@
 constexpr double kPromoteAbove = 0.95;  // part of the cap slice that arrivals must exceed
 
 // Starting values of the design page.
-constexpr double kThreshold = 0.8;    // load from which a node counts as loaded
-constexpr double kTopGears = 4;       // top cap without a limit, in gear 0s
+constexpr double kThreshold = 0.6;    // load from which a node counts as loaded
+constexpr double kTopGears = 8;       // top cap without a limit, in gear 0s
 constexpr double kAimPart = 0.5;      // part of the tightest contract time that units out may fill
 constexpr int kLeastOut = 4;          // transactions that may always be out at a node
 constexpr int kMostOut = 32;          // transactions out at a node, whatever it manages
@@ -453,8 +453,8 @@
 double Control::unit_time(const Node& node) const {
   auto sorted = node.recent;
   const int count = std::min(node.buckets, kFlushPeriods);
-  std::nth_element(sorted.begin(), sorted.begin() + count / 4, sorted.begin() + count);
-  return std::max(sorted[at(count / 4)], 1e-6);
+  std::nth_element(sorted.begin(), sorted.begin() + count / 2, sorted.begin() + count);
+  return std::max(sorted[at(count / 2)], 1e-6);
 }
 
 double Control::load(const Node& node) const {
