--- a/src/control.cpp
+++ b/src/control.cpp
@@ -18,7 +18,7 @@
 
 // Starting values of the design page.
 constexpr double kThreshold = 0.8;    // load from which a node counts as loaded
-constexpr double kTopGears = 4;       // top cap without a limit, in gear 0s
+constexpr double kTopGears = 8;       // top cap without a limit, in gear 0s
 constexpr double kAimPart = 0.5;      // part of the tightest contract time that units out may fill
 constexpr int kLeastOut = 4;          // transactions that may always be out at a node
 constexpr int kMostOut = 32;          // transactions out at a node, whatever it manages
@@ -29,7 +29,7 @@
 constexpr double kBestDrift = 1.01;      // a bucket: best latency is forgotten slowly, as nodes change for good
 constexpr double kKeep = 0.7;            // a second: what is kept of a volume's told and own service
 constexpr double kRateKeep = 0.7;        // a second: what is kept of the learned rate while the bound is reached
-constexpr double kLatencyGain = 0.12;    // weight of the newest reply in a node's recent latency
+constexpr double kLatencyGain = 0.2;     // weight of the newest reply in a node's recent latency
 constexpr double kLeastFall = 4;         // power; steep, so that the latency of a crowd stays near the aim
 constexpr double kMostJump = 2;          // latency that one reply may tell, in recent latencies
 constexpr double kWaitMargin = 0.7;      // recent waits to have time for; under 1, as a wait may be an old pause
