--- a/src/control.cpp
+++ b/src/control.cpp
@@ -29,9 +29,7 @@
 constexpr double kBestDrift = 1.01;      // a bucket: best latency is forgotten slowly, as nodes change for good
 constexpr double kKeep = 0.7;            // a second: what is kept of a volume's told and own service
 constexpr double kRateKeep = 0.7;        // a second: what is kept of the learned rate while the bound is reached
-constexpr double kLatencyTime = 0.5;     // s: the newest reply weighs as long as it took to come, over this
-constexpr double kLatencyLeast = 0.1;    // its least weight in a node's recent latency
-constexpr double kLatencyMost = 0.5;     // and its most, as one of few replies
+constexpr double kLatencyGain = 0.2;     // weight of the newest reply in a node's recent latency
 constexpr double kLeastFall = 4;         // power; steep, so that the latency of a crowd stays near the aim
 constexpr double kMostJump = 2;          // latency that one reply may tell, in recent latencies
 constexpr double kWaitMargin = 0.7;      // recent waits to have time for; under 1, as a wait may be an old pause
@@ -163,10 +161,8 @@
     node.bucket_replies += 1;
     // Danger: one very heavy transaction, or a pause, looks like a long queue. What one reply may say is capped.
     const double seen = std::min(r.elapsed, kMostJump * std::max(node.latency, kAimPart * tightest_));
-    const double gain = std::clamp((now - node.heard_at) / kLatencyTime, kLatencyLeast, kLatencyMost);
-    node.heard_at = now;
-    node.latency += gain * (seen - node.latency);
-    node.wait += gain * (seen - node.best * o.t.units - node.wait);
+    node.latency += kLatencyGain * (seen - node.latency);
+    node.wait += kLatencyGain * (seen - node.best * o.t.units - node.wait);
     v.mine += o.t.units;
   }
   node.success += kAgainGain * ((honoured ? 1 : 0) - node.success);
--- a/src/state.h
+++ b/src/state.h
@@ -89,7 +89,6 @@
   std::array<double, 4> recent{};  // means of latency for each unit, one a period
   int buckets = 0;
   double best = 0;
-  double heard_at = 0;
   double latency = 0;  // recent, of a whole dispatch
   double wait = 0;     // recent, what is over the best for its units
   double success = 1;
