--- a/src/control.cpp
+++ b/src/control.cpp
@@ -152,7 +152,6 @@
   node.out -= 1;
   node.units_out -= o.t.units;
   if (!may_still_run) node.quiet_since = now;
-  if (!may_still_run) node.down = r.outcome == Outcome::kNoConnection;
   Volume& v = volume_of(now, o.t);
   if (honoured) {
     node.served += o.t.units;
@@ -463,9 +462,9 @@
 
 bool Control::has_room(double now, const Node& node, double units, double worth) const {
   if (node.out >= kMostOut) return false;
-  // Danger: a node that takes work and answers none; also a dead process that the list still names. One trial
-  // at a time goes there until it replies. May hurt at a node that serves nothing but very long work.
-  if (is_silent(now, node)) return now - node.last_sent >= kTrialEvery;
+  // Danger: a node that takes work and answers none. What is out there is trial enough: more would only be served
+  // late when it comes back. May hurt where what is out was lost: then nothing goes until its cut-off.
+  if (is_silent(now, node)) return false;
   // Danger: the least number from each of many hosts is more than a node serves in the contract time. So while
   // the recent latency is over the bound's own aim, the least falls steeply; under one, a pause follows each
   // reply. Acts on any crowd: many hosts, a slow or a small node. May hurt where a few very long transactions
@@ -479,7 +478,7 @@
 }
 
 bool Control::is_silent(double now, const Node& node) const {
-  return node.down || (node.out > 0 && now - node.quiet_since > kSilentAfter);
+  return node.out > 0 && now - node.quiet_since > kSilentAfter;
 }
 
 bool Control::is_cold(double now, const Node& node) const {
--- a/src/state.h
+++ b/src/state.h
@@ -78,7 +78,6 @@
   double last_sent = 0;
   double lost = 0;        // the most that was turned back here lately, a unit
   double lost_until = 0;  // when that is forgotten
-  bool down = false;  // the last that came of it was a refused connection
   double rate = 0;  // learned, units a second
   double served = 0;
   bool pressed = false;  // the bound was reached in this period
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -165,7 +165,7 @@
   CHECK(s.matches("list"));
 }
 
-TEST_CASE("silence: a node that answers nothing gets trials only, and is back with its first answer") {
+TEST_CASE("silence: a node that answers nothing gets no more than is out, and is back with its first answer") {
   Stage s(plain_settings());
   for (int i = 0; i < 30; ++i) {
     s.until(100 + i * 0.1);
