--- a/src/control.cpp
+++ b/src/control.cpp
@@ -1,8 +1,9 @@
 // The decisions of heronworks, all of them.
 //
-// How to call it: build a Control with the settings of one scheduler and a Host, then call one method for each
-// thing that happens, with the time in seconds. It acts by calling the Host before it returns. Interface:
-// control.h; settings.h and state.h hold the plain types. docs/design.md says why, docs/on-call.md what one sees.
+// How to call it: build a Control with the settings of one scheduler and a Host, then call one method for
+// each thing that happens, with the time in seconds. It acts by calling the Host before it returns.
+// Interface: control.h; settings.h and state.h hold the plain types. docs/design.md says why, docs/on-call.md
+// what one sees.
 #include "control.h"
 
 #include <algorithm>
@@ -17,41 +18,43 @@
 constexpr double kPromoteAbove = 0.95;  // part of the cap slice that arrivals must exceed
 
 // Starting values of the design page.
-constexpr double kThreshold = 0.8;    // load from which a node counts as loaded
-constexpr double kTopGears = 8;       // top cap without a limit, in gear 0s
-constexpr double kAimPart = 0.5;      // part of the tightest contract time that units out may fill
-constexpr int kLeastOut = 4;          // transactions that may always be out at a node
-constexpr int kMostOut = 32;          // transactions out at a node, whatever it manages
-constexpr int kFlushPeriods = 4;      // shorter rises of latency are flush pauses, not load
+constexpr double kThreshold = 0.8;  // load from which a node counts as loaded
+constexpr double kTopGears = 8;     // top cap without a limit, in gear 0s
+constexpr double kAimPart = 0.5;    // part of the tightest contract time that units out may fill
+constexpr int kLeastOut = 4;        // transactions that may always be out at a node
+constexpr int kMostOut = 32;        // transactions out at a node, whatever it manages
+constexpr int kFlushPeriods = 4;    // shorter rises of latency are flush pauses, not load
 
 // Ours.
-constexpr double kBucketReplies = 3;     // replies that a mean needs, so that one large reply does not make it
-constexpr double kBestDrift = 1.01;      // a bucket: best latency is forgotten slowly, as nodes change for good
-constexpr double kKeep = 0.7;            // a second: what is kept of a volume's told and own service
-constexpr double kRateKeep = 0.7;        // a second: what is kept of the learned rate while the bound is reached
-constexpr double kLatencyGain = 0.2;     // weight of the newest reply in a node's recent latency
-constexpr double kLeastFall = 4;         // power; steep, so that the latency of a crowd stays near the aim
-constexpr double kMostJump = 2;          // latency that one reply may tell, in recent latencies
-constexpr double kWaitMargin = 0.7;      // recent waits to have time for; under 1, as a wait may be an old pause
-constexpr double kSweep = 0.01;          // s between two looks at what is held
-constexpr double kAnswerMargin = 0.03;   // s before the cut-off at which a held transaction is answered
-constexpr double kSlackUnit = 2.0;       // s: how little the time left counts beside the benefit
-constexpr double kLateCounts = 0.5;      // part of the benefit from which a late answer is worth its work
-constexpr double kSameCutOff = 0.01;     // s by which the cut-offs of a try and its repeat may differ
-constexpr double kLostTime = 1.0;        // s for which a node remembers what was turned back
-constexpr double kCheapPart = 0.5;       // part of the bound for what is worth less than that
-constexpr double kSilentAfter = 0.6;     // s without any reply while dispatches are out
-constexpr double kTrialEvery = 0.5;      // s between two trials of a silent node
-constexpr double kAgainPause = 0.03;     // s before a further dispatch, times the dispatches so far
-constexpr double kAgainFloor = 0.1;      // least chance of a further dispatch, so that health is found again
-constexpr double kAgainGain = 0.1;       // weight of the newest further dispatch
-constexpr double kTurnTime = 1.25;       // turn at a cold node, in fall times; a window meets one turn only
-constexpr double kTurnPart = 0.2;        // part of the fall time in which the scheduler in turn sends
-constexpr int kBudgetSlots = 20;         // parts of the budget's window
-constexpr double kAskFirst = 0.5;        // s before a failed call for the list is made again, doubling
-constexpr double kAskMost = 6.0;         // s between calls at most
+constexpr double kBucketReplies = 3;  // replies that a mean needs, so that one large reply does not make it
+constexpr double kBestDrift = 1.01;   // a bucket: best latency is forgotten slowly, as nodes change for good
+constexpr double kKeep = 0.7;         // a second: what is kept of a volume's told and own service
+constexpr double kRateKeep = 0.7;     // a second: what is kept of the learned rate while the bound is reached
+constexpr double kLatencyGain = 0.2;  // weight of the newest reply in a node's recent latency
+constexpr double kLeastFall = 4;      // power; steep, so that the latency of a crowd stays near the aim
+constexpr double kMostJump = 2;       // latency that one reply may tell, in recent latencies
+constexpr double kWaitMargin = 0.7;   // recent waits to have time for; under 1, as a wait may be an old pause
+constexpr double kSweep = 0.01;       // s between two looks at what is held
+constexpr double kAnswerMargin = 0.03;  // s before the cut-off at which a held transaction is answered
+constexpr double kSlackUnit = 2.0;      // s: how little the time left counts beside the benefit
+constexpr double kLateCounts = 0.5;     // part of the benefit from which a late answer is worth its work
+constexpr double kSameCutOff = 0.01;    // s by which the cut-offs of a try and its repeat may differ
+constexpr double kLostTime = 1.0;       // s for which a node remembers what was turned back
+constexpr double kCheapPart = 0.5;      // part of the bound for what is worth less than that
+constexpr double kSilentAfter = 1.0;    // s without any reply while dispatches are out
+constexpr double kTrialEvery = 0.5;     // s after which late work goes as a trial; longest pause under one out
+constexpr double kAgainPause = 0.03;    // s before a further dispatch, times the dispatches so far
+constexpr double kAgainFloor = 0.1;     // least chance of a further dispatch, so that health is found again
+constexpr double kAgainGain = 0.1;      // weight of the newest further dispatch
+constexpr double kTurnTime = 1.25;      // turn at a cold node, in fall times; a window meets one turn only
+constexpr double kTurnPart = 0.2;       // part of the fall time in which the scheduler in turn sends
+constexpr int kBudgetSlots = 20;        // parts of the budget's window
+constexpr double kAskFirst = 0.5;       // s before a failed call for the list is made again, doubling
+constexpr double kAskMost = 6.0;        // s between calls at most
 constexpr double kNever = std::numeric_limits<double>::infinity();
 
+static_assert(std::tuple_size_v<decltype(Node::recent)> == kFlushPeriods);
+
 std::size_t at(int index) { return static_cast<std::size_t>(index); }
 
 }  // namespace
@@ -119,8 +122,9 @@
   o.used = true;
   o.t = t;
   o.cut_off_at = now + t.time_left;
-  // The contract time of a client's repeat began with its first try. Danger: clients in a hurry bring little time
-  // on a first try too; so a repeat is known by what it is about and by the same cut-off as one answered before.
+  // The contract time of a client's repeat began with its first try. Danger: clients in a hurry bring little
+  // time on a first try too; so a repeat is known by what it is about and by the same cut-off as one answered
+  // before.
   const Profile& profile = settings_.profiles[at(t.profile)];
   const bool late_counts = profile.late_part >= kLateCounts;
   o.contract_at = std::min(now + (late_counts ? profile.cut_off : profile.contract), o.cut_off_at);
@@ -144,10 +148,10 @@
   Open& o = open_[at(id)];
   Node& node = node_at(r.node);
   const bool honoured = r.outcome == Outcome::kHonoured;
-  const bool never_ran = r.outcome == Outcome::kFull || r.outcome == Outcome::kNoConnection ||
-                         r.outcome == Outcome::kMoot;
-  const bool may_still_run = r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kReset ||
-                             r.outcome == Outcome::kCancelled;
+  const bool never_ran =
+      r.outcome == Outcome::kFull || r.outcome == Outcome::kNoConnection || r.outcome == Outcome::kMoot;
+  const bool may_still_run =
+      r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kReset || r.outcome == Outcome::kCancelled;
   o.out -= 1;
   node.out -= 1;
   node.units_out -= o.t.units;
@@ -158,7 +162,8 @@
     node.bucket_time += r.elapsed;
     node.bucket_units += o.t.units;
     node.bucket_replies += 1;
-    // Danger: one very heavy transaction, or a pause, looks like a long queue. What one reply may say is capped.
+    // Danger: one very heavy transaction, or a pause, looks like a long queue. What one reply may say is
+    // capped.
     const double seen = std::min(r.elapsed, kMostJump * std::max(node.latency, kAimPart * tightest_));
     node.latency += kLatencyGain * (seen - node.latency);
     node.wait += kLatencyGain * (seen - node.best * o.t.units - node.wait);
@@ -180,8 +185,8 @@
   if (r.finished || o.over) {
     o.over = true;
     close(id);
-  } else if (r.outcome == Outcome::kMoot || now + answer_margin_ >= o.cut_off_at || !may_go_again(now, o, node) ||
-             !again_wanted(o, node)) {
+  } else if (r.outcome == Outcome::kMoot || now + answer_margin_ >= o.cut_off_at ||
+             !may_go_again(now, o, node) || !again_wanted(o, node)) {
     answer(now, id);
   } else {
     o.held = true;
@@ -289,12 +294,14 @@
     Open& o = open_[at(id)];
     const int index = o.t.shard < 0 ? -1 : place(now, o);
     const bool full = index >= 0 && nodes_[at(index)].full;
-    // Danger: work that can no longer keep its contract time makes the next miss theirs. It goes only to a node
-    // that was sent nothing for a while, as a trial that finds out when an old latency no longer holds.
+    // Danger: work that can no longer keep its contract time makes the next miss theirs. It goes only to a
+    // node that was sent nothing for a while, as a trial that finds out when an old latency no longer holds.
     const Node* node = index >= 0 ? &nodes_[at(index)] : nullptr;
     const double latency = node ? kWaitMargin * std::max(node->wait, 0.0) + node->best * o.t.units : 0;
     const bool late = now + latency >= o.contract_at;
-    const Verdict verdict = full || (late && node && (node->out > 0 || now - node->last_sent < kTrialEvery)) ? Verdict::kNodeFull : decide(now, id);
+    const Verdict verdict = full || (late && node && (node->out > 0 || now - node->last_sent < kTrialEvery))
+                                ? Verdict::kNodeFull
+                                : decide(now, id);
     if (verdict == Verdict::kNodeFull && !late && index >= 0) nodes_[at(index)].full = true;
     if (!o.held || (!late && now + answer_margin_ < o.cut_off_at)) continue;
     if (index >= 0 && (o.worth >= node->lost || now >= nodes_[at(index)].lost_until)) {
@@ -380,9 +387,8 @@
 }
 
 Bucket& Control::budget_slot(double now) {
-  const auto slot = settings_.has_budget
-                        ? static_cast<std::int64_t>(now / (settings_.budget_window / kBudgetSlots))
-                        : 0;
+  const auto slot =
+      settings_.has_budget ? static_cast<std::int64_t>(now / (settings_.budget_window / kBudgetSlots)) : 0;
   for (Bucket& b : budget_) {
     if (b.slot + kBudgetSlots < slot) b = Bucket{};
   }
@@ -410,8 +416,8 @@
   return best;
 }
 
-// Weighted rotation for new objects over the ready nodes with room. The weight is what a node has been seen to
-// manage: units a second of latency, times the part of its replies that were good.
+// Weighted rotation for new objects over the ready nodes with room. The weight is what a node has been seen
+// to manage: units a second of latency, times the part of its replies that were good.
 int Control::rotate(double now, const Open& o) {
   double known = 0;
   int heard = 0;
@@ -462,13 +468,13 @@
 
 bool Control::has_room(double now, const Node& node, double units, double worth) const {
   if (node.out >= kMostOut) return false;
-  // Danger: a node that takes work and answers none. What is out there is trial enough: more would only be served
-  // late when it comes back. May hurt where what is out was lost: then nothing goes until its cut-off.
+  // Danger: a node that takes work and answers none. What is out there is trial enough: more would only be
+  // served late when it comes back. May hurt where what is out was lost: then nothing goes until its cut-off.
   if (is_silent(now, node)) return false;
-  // Danger: the least number from each of many hosts is more than a node serves in the contract time. So while
-  // the recent latency is over the bound's own aim, the least falls steeply; under one, a pause follows each
-  // reply. Acts on any crowd: many hosts, a slow or a small node. May hurt where a few very long transactions
-  // raise the latency.
+  // Danger: the least number from each of many hosts is more than a node serves in the contract time. So
+  // while the recent latency is over the bound's own aim, the least falls steeply; under one, a pause follows
+  // each reply. Acts on any crowd: many hosts, a slow or a small node. May hurt where a few very long
+  // transactions raise the latency.
   const double part = now < node.lost_until && worth < node.lost ? kCheapPart : 1;
   const double aim = part * kAimPart * tightest_;
   if (node.units_out + units <= node.rate * aim) return true;
@@ -517,8 +523,8 @@
     v.used = true;
     v.plan = t.plan;
     v.hosts = hosts;
-    // Danger: a scheduler that died has spent its slice of the limit and forgotten it. So every slice is empty
-    // at this scheduler's start. May hurt in the first second of a day.
+    // Danger: a scheduler that died has spent its slice of the limit and forgotten it. So every slice is
+    // empty at this scheduler's start. May hurt in the first second of a day.
     v.filled_at = started_;
   }
   v.hosts = std::max(v.hosts, hosts);
--- a/src/control.h
+++ b/src/control.h
@@ -75,14 +75,14 @@
   double second_at_;
   double ask_at_;
   int ask_fails_ = 0;
-  std::vector<Open> open_;       // by transaction; a slot is free once it is over and nothing is out
-  std::vector<int> held_;        // in order of landing; emptied as they go out or are answered
+  std::vector<Open> open_;  // by transaction; a slot is free once it is over and nothing is out
+  std::vector<int> held_;   // in order of landing; emptied as they go out or are answered
   std::vector<std::pair<double, int>> order_;  // scratch of serve()
-  std::vector<Node> nodes_;      // by node; as many as were listed since the start
-  std::vector<Volume> volumes_;  // by volume; as many as there are
-  std::map<std::uint64_t, Past> past_;  // by key: answered unserved; erased at the cut-off
-  std::vector<Bucket> budget_;   // a ring over the budget's window
-  std::map<std::uint64_t, Lane> lanes_;  // by key; erased when idle and rested
+  std::vector<Node> nodes_;                    // by node; as many as were listed since the start
+  std::vector<Volume> volumes_;                // by volume; as many as there are
+  std::map<std::uint64_t, Past> past_;         // by key: answered unserved; erased at the cut-off
+  std::vector<Bucket> budget_;                 // a ring over the budget's window
+  std::map<std::uint64_t, Lane> lanes_;        // by key; erased when idle and rested
 };
 
 }  // namespace heronworks
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -184,8 +184,7 @@
 // One scheduler: the module and the names that it must not see.
 class Instance final : public Host {
  public:
-  Instance(const Line& line, std::string& out, double now)
-      : out_(out), who_(line.integer("who")), now_(now) {
+  Instance(const Line& line, std::string& out, double now) : out_(out), who_(line.integer("who")), now_(now) {
     Settings settings = read_settings(line, profiles_, plans_);
     control_ = std::make_unique<Control>(std::move(settings), *this, now);
   }
--- a/src/state.h
+++ b/src/state.h
@@ -50,7 +50,7 @@
   double contract_at = 0;
   double cut_off_at = 0;
   double not_before = 0;
-  double worth = 0;  // a unit, at the last look
+  double worth = 0;        // a unit, at the last look
   double label_until = 0;  // end of the repeat window, counted from the first dispatch that may have run
   int first_node = -1;     // of the first dispatch that may have run
   int dispatches = 0;
@@ -78,7 +78,7 @@
   double last_sent = 0;
   double lost = 0;        // the most that was turned back here lately, a unit
   double lost_until = 0;  // when that is forgotten
-  double rate = 0;  // learned, units a second
+  double rate = 0;        // learned, units a second
   double served = 0;
   bool pressed = false;  // the bound was reached in this period
   bool full = false;     // no more in this look at what is held
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -165,7 +165,8 @@
   CHECK(s.matches("list"));
 }
 
-TEST_CASE("silence: a node that answers nothing gets no more than is out, and is back with its first answer") {
+TEST_CASE(
+    "silence: a node that answers nothing gets no more than is out, and is back with its first answer") {
   Stage s(plain_settings());
   for (int i = 0; i < 30; ++i) {
     s.until(100 + i * 0.1);
@@ -179,7 +180,8 @@
   CHECK(s.matches("silence"));
 }
 
-TEST_CASE("restart of a node between two looks at its latency: what waits for it still gets an answer in time") {
+TEST_CASE(
+    "restart of a node between two looks at its latency: what waits for it still gets an answer in time") {
   Stage s(plain_settings());
   for (int i = 0; i < 3; ++i) s.land(i);
   s.reply_all(Outcome::kHonoured);
