--- a/src/control.cpp
+++ b/src/control.cpp
@@ -42,15 +42,15 @@
 constexpr double kLostTime = 1.0;       // s for which a node remembers what was turned back
 constexpr double kCheapPart = 0.5;      // part of the bound for what is worth less than that
 constexpr double kSilentAfter = 1.0;    // s without any reply while dispatches are out
-constexpr double kTrialEvery = 0.5;     // s after which late work goes as a trial; longest pause under one out
-constexpr double kAgainPause = 0.03;    // s before a further dispatch, times the dispatches so far
-constexpr double kAgainFloor = 0.1;     // least chance of a further dispatch, so that health is found again
-constexpr double kAgainGain = 0.1;      // weight of the newest further dispatch
-constexpr double kTurnTime = 1.25;      // turn at a cold node, in fall times; a window meets one turn only
-constexpr double kTurnPart = 0.2;       // part of the fall time in which the scheduler in turn sends
-constexpr int kBudgetSlots = 20;        // parts of the budget's window
-constexpr double kAskFirst = 0.5;       // s before a failed call for the list is made again, doubling
-constexpr double kAskMost = 6.0;        // s between calls at most
+constexpr double kTrialEvery = 0.5;   // s after which late work goes as a trial; longest pause under one out
+constexpr double kAgainPause = 0.03;  // s before a further dispatch, times the dispatches so far
+constexpr double kAgainFloor = 0.1;   // least chance of a further dispatch, so that health is found again
+constexpr double kAgainGain = 0.1;    // weight of the newest further dispatch
+constexpr double kTurnTime = 1.25;    // turn at a cold node, in fall times; a window meets one turn only
+constexpr double kTurnPart = 0.2;     // part of the fall time in which the scheduler in turn sends
+constexpr int kBudgetSlots = 20;      // parts of the budget's window
+constexpr double kAskFirst = 0.5;     // s before a failed call for the list is made again, doubling
+constexpr double kAskMost = 6.0;      // s between calls at most
 constexpr double kNever = std::numeric_limits<double>::infinity();
 
 static_assert(std::tuple_size_v<decltype(Node::recent)> == kFlushPeriods);
