--- a/src/control.cpp
+++ b/src/control.cpp
@@ -39,6 +39,7 @@
 constexpr double kSlackUnit = 2.0;      // s: how little the time left counts beside the benefit
 constexpr double kLateCounts = 0.5;     // part of the benefit from which a late answer is worth its work
 constexpr double kSameCutOff = 0.01;    // s by which the cut-offs of a try and its repeat may differ
+constexpr double kPatienceDrift = 1.2;  // a second: how fast a client that left early is forgotten
 constexpr double kLostTime = 1.0;       // s for which a node remembers what was turned back
 constexpr double kCheapPart = 0.5;      // part of the bound for what is worth less than that
 constexpr double kSilentAfter = 1.0;    // s without any reply while dispatches are out
@@ -68,6 +69,7 @@
       tightest_(kNever),
       second_at_(now + kPeriod),
       ask_at_(kNever),
+      patience_(settings_.profiles.size(), kNever),
       budget_(kBudgetSlots + 1) {
   double rates = 0;
   double weights = 0;
@@ -128,10 +130,12 @@
   const Profile& profile = settings_.profiles[at(t.profile)];
   const bool late_counts = profile.late_part >= kLateCounts;
   o.contract_at = std::min(now + (late_counts ? profile.cut_off : profile.contract), o.cut_off_at);
+  o.landed_at = now;
+  o.contract_at = std::min(o.contract_at, now + patience_[at(t.profile)]);
   const auto past = t.has_key ? past_.find(t.key) : past_.end();
   if (past != past_.end() && past->second.volume == t.volume && past->second.profile == t.profile &&
       std::abs(past->second.cut_off_at - o.cut_off_at) < kSameCutOff) {
-    o.contract_at = past->second.contract_at;
+    o.contract_at = std::min(o.contract_at, past->second.contract_at);
   }
   budget_slot(now).landed += 1;
   Volume& v = volume_of(now, t);
@@ -199,7 +203,17 @@
 void Control::stream_began(double, int id) { open_[at(id)].cut_off_at = kNever; }
 
 void Control::abandoned(double now, int id) {
-  open_[at(id)].over = true;
+  Open& o = open_[at(id)];
+  if (!o.over) {
+    // Danger: clients that leave long before their cut-off and come again at once; the work sent for them is
+    // lost. What many of them waited bounds the contract time. May hurt, for seconds, where only a few leave
+    // early.
+    double& patience = patience_[at(o.t.profile)];
+    patience = std::min(patience, settings_.profiles[at(o.t.profile)].contract);
+    patience += kLatencyGain * (now - o.landed_at - patience);
+    if (o.t.has_key) past_[o.t.key] = {o.t.volume, o.t.profile, o.cut_off_at, o.contract_at};
+  }
+  o.over = true;
   close(id);
   serve(now);
 }
@@ -597,6 +611,7 @@
       node.best = node.buckets == 1 ? recent : std::min(node.best * kBestDrift, recent);
     }
   }
+  for (double& patience : patience_) patience *= kPatienceDrift;
   std::erase_if(past_, [&](const auto& p) { return now >= p.second.cut_off_at; });
   std::erase_if(lanes_, [&](const auto& l) { return l.second.line.empty() && now >= l.second.rest_until; });
 }
--- a/src/state.h
+++ b/src/state.h
@@ -47,6 +47,7 @@
 // The tables of the module.
 struct Open {
   Transaction t;
+  double landed_at = 0;
   double contract_at = 0;
   double cut_off_at = 0;
   double not_before = 0;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -207,3 +207,20 @@
   s.until(102);
   CHECK(s.matches("hurry"));
 }
+
+TEST_CASE(
+    "patience: clients that leave early shorten the contract time; what they left keeps it on its return") {
+  Stage s(plain_settings(), {listed(0)});
+  for (int i = 0; i < 12; ++i) {
+    s.until(100 + i * 0.05);
+    s.land(i, 0, 2, 5, 0, 100 + i);
+    if (i >= 2) s.abandon(i - 2);
+  }
+  s.say("waits as long as the others did");
+  s.land(12, 0, 2, 5, 0, 200);
+  s.until(103);
+  s.say("a while later: longer");
+  s.land(13, 0, 2, 5, 0, 201);
+  s.until(105);
+  CHECK(s.matches("patience"));
+}
