A wake-up that comes a rounding early is followed by another

All tests now wake the module a rounding early, and the one of answers fails without the change. Other troubles covered: any host whose clock is coarser than the module's.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -35,6 +35,7 @@
 constexpr double kMostJump = 2;       // latency that one reply may tell, in recent latencies
 constexpr double kWaitMargin = 0.7;   // recent waits to have time for; under 1, as a wait may be an old pause
 constexpr double kSweep = 0.01;       // s between two looks at what is held
+constexpr double kClockSlack = 1e-5;  // s by which a wake-up may seem early; hosts' clocks are rounded
 constexpr double kAnswerMargin = 0.03;  // s before the cut-off at which a held transaction is answered
 constexpr double kSlackUnit = 2.0;      // s: how little the time left counts beside the benefit
 constexpr double kLateCounts = 0.5;     // part of the benefit from which a late answer is worth its work
@@ -327,7 +328,8 @@
   std::erase_if(held_, [&](int id) { return !open_[at(id)].held; });
 
   const double wanted = std::min(held_.empty() ? second_at_ : std::min(second_at_, now + kSweep), ask_at_);
-  if (next_wake_ <= now || wanted < next_wake_) {
+  // Danger: a wake-up that comes a rounding early looks as if it were still to come, and none follows it.
+  if (next_wake_ <= now + kClockSlack || wanted < next_wake_) {
     next_wake_ = std::max(wanted, now + kSweep / 2);
     host_.wake_at(next_wake_);
   }
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -53,10 +53,10 @@
     news(Scope::kSaved, std::move(nodes));
   }
 
-  // Lets time pass, with the wake-ups that were asked for.
+  // Lets time pass, with the wake-ups that were asked for; they come a rounding early, as on a coarse clock.
   void until(double time) {
     while (wake_ <= time) {
-      now_ = std::max(now_, wake_);
+      now_ = std::max(now_, wake_ - 1e-6);
       wake_ = 1e9;
       control_->woken(now_);
     }
