--- a/tests/wire.sh
+++ b/tests/wire.sh
@@ -18,7 +18,7 @@
   fi
 }
 
-expect "good" "$good" 0 $'HAND_OFF\twho=3\thandle=aa\tserver=10.0.0.1:80\n'
+expect "good" "$good" 0 $'HAND_OFF\twho=3\thandle=aa\tserver=10.0.0.1:80\ttry-for=100000\n'
 expect "empty batch" 'SYNC\tsim-time=1\nEOB\n' 0 'EOR'
 expect "no input" '' 0 ''
 expect "malformed field" "${good/left=100000/left=x}" 1 "line 7: CALL: bad field 'left'"
