--- a/src/control.cpp
+++ b/src/control.cpp
@@ -163,9 +163,9 @@
   if (!may_still_run) node.quiet_since = now;
   Volume& v = volume_of(now, o.t);
   if (r.outcome == Outcome::kTimedOut) {
-    const double seen = std::max(r.elapsed, node.latency);
+    const double seen = std::max(kMostJump * r.elapsed, node.latency);
     node.latency += kLatencyGain * (seen - node.latency);
-    node.wait += kLatencyGain * (std::max(r.elapsed - node.best * o.t.units, node.wait) - node.wait);
+    node.wait += kLatencyGain * (std::max(kMostJump * r.elapsed - node.best * o.t.units, node.wait) - node.wait);
   }
   if (honoured) {
     node.served += o.t.units;
