--- a/src/control.cpp
+++ b/src/control.cpp
@@ -50,6 +50,8 @@
 constexpr double kAgainGain = 0.1;    // weight of the newest further dispatch
 constexpr double kTurnTime = 1.25;    // turn at a cold node, in fall times; a window meets one turn only
 constexpr double kTurnPart = 0.2;     // part of the fall time in which the scheduler in turn sends
+constexpr double kGapGrows = 2;       // gap after a bad reply, in gaps before
+constexpr double kGapDrift = 0.9;     // a second: how fast a gap is forgotten
 constexpr int kBudgetSlots = 20;      // parts of the budget's window
 constexpr double kAskFirst = 0.5;     // s before a failed call for the list is made again, doubling
 constexpr double kAskMost = 6.0;      // s between calls at most
@@ -167,6 +169,22 @@
     node.latency += kLatencyGain * (seen - node.latency);
     node.wait += kLatencyGain * (std::max(kMostJump * r.elapsed - node.best * o.t.units, node.wait) - node.wait);
   }
+  // Danger: each of hundreds of schedulers sends a node little, and all together drown it. So where even the
+  // longest pause is not enough, each bad reply doubles the gap between this scheduler's dispatches there, until
+  // all together would send one in each aim; only what was sent since the last change counts. A quick reply ends
+  // it. Acts in any crowd and at a slow or hung node; may hurt, for a gap, where answers get lost.
+  if (now - r.elapsed >= node.gap_at) {
+    const double aim = kAimPart * tightest_;
+    if (r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kFull) {
+      if (node.spacing >= kTrialEvery) {
+        const double grown = std::min(std::max(kGapGrows * node.gap, node.spacing), aim * settings_.schedulers);
+        node.gap = grown * std::uniform_real_distribution(0.75, 1.25)(random_);
+        node.gap_at = now;
+      }
+    } else if (honoured && r.elapsed - node.best * o.t.units < aim) {
+      node.gap = 0;
+    }
+  }
   if (honoured) {
     node.served += o.t.units;
     node.bucket_time += r.elapsed;
@@ -285,6 +303,7 @@
   v.reserve = std::max(v.reserve - o.t.units, -largest);
   if (is_cold(now, node)) node.cold_sent.push_back({now, o.t.units});
   if (node.out == 0) node.quiet_since = now;
+  node.spacing = node.last_sent > 0 ? now - node.last_sent : 0;
   node.last_sent = now;
   node.out += 1;
   node.units_out += o.t.units;
@@ -499,6 +518,7 @@
   // each reply. Acts on any crowd: many hosts, a slow or a small node. May hurt where a few very long
   // transactions raise the latency.
   const double part = now < node.lost_until && worth < node.lost ? kCheapPart : 1;
+  if (now - node.last_sent < node.gap / part) return false;
   const double aim = part * kAimPart * tightest_;
   if (node.units_out + units <= node.rate * aim) return true;
   const double least = part * kLeastOut * std::pow(std::min(1.0, aim / node.latency), kLeastFall);
@@ -610,6 +630,7 @@
     } else if (node.pressed) {
       node.rate = kRateKeep * node.rate + (1 - kRateKeep) * served;
     }
+    node.gap *= kGapDrift;
     node.served = 0;
     node.pressed = false;
     if (node.bucket_replies >= kBucketReplies) {
--- a/src/state.h
+++ b/src/state.h
@@ -77,6 +77,9 @@
   double units_out = 0;
   double quiet_since = 0;
   double last_sent = 0;
+  double spacing = 0;  // between the last two dispatches
+  double gap = 0;      // least time between two dispatches
+  double gap_at = 0;   // when it last grew
   double lost = 0;        // the most that was turned back here lately, a unit
   double lost_until = 0;  // when that is forgotten
   double rate = 0;        // learned, units a second
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -224,3 +224,17 @@
   s.until(105);
   CHECK(s.matches("patience"));
 }
+
+TEST_CASE("a crowd: time-outs spread what one of many schedulers sends, a quick reply ends it") {
+  Settings settings = plain_settings();
+  settings.schedulers = 100;
+  Stage s(settings);
+  for (int i = 0; i < 16; ++i) {
+    s.until(101 + i);
+    s.land(i);
+    s.until(101.4 + i);
+    if (i == 11) s.say("quick from here");
+    s.reply(i, i < 11 ? Outcome::kTimedOut : Outcome::kHonoured, i < 11 ? 0.4 : 0.02);
+  }
+  CHECK(s.matches("crowd"));
+}
