--- a/src/control.cpp
+++ b/src/control.cpp
@@ -43,6 +43,7 @@
 constexpr double kPatienceDrift = 1.2;  // a second: how fast a client that left early is forgotten
 constexpr double kLostTime = 1.0;       // s for which a node remembers what was turned back
 constexpr double kCheapPart = 0.5;      // part of the bound for what is worth less than that
+constexpr double kUseTime = 3.0;        // s for which the meter's last word on a volume holds
 constexpr double kSilentAfter = 1.0;    // s without any reply while dispatches are out
 constexpr double kTrialEvery = 0.5;   // s after which late work goes as a trial; longest pause under one out
 constexpr double kAgainPause = 0.03;  // s before a further dispatch, times the dispatches so far
@@ -201,6 +202,10 @@
   if (r.dispatch > 0) node.again_success += kAgainGain * ((honoured ? 1 : 0) - node.again_success);
   v.others += r.by_others;
   if (r.by_others > 0 || r.volume_use >= 0) v.told = true;
+  if (r.volume_use >= 0) {
+    v.use = r.volume_use;
+    v.use_at = now;
+  }
   if (!never_ran && !o.may_have_run) {
     o.may_have_run = true;
     o.first_node = r.node;
@@ -290,7 +295,7 @@
   if (load(node) >= kThreshold && over_gear(v) && v.pace < 0) return Verdict::kHeld;
 
   // Our bound on units out.
-  if (!has_room(now, node, o.t.units, o.worth)) {
+  if (!has_room(now, node, o)) {
     node.pressed = true;
     return Verdict::kNodeFull;
   }
@@ -362,14 +367,18 @@
 }
 
 // What a dispatch now would earn for each unit.
-double Control::worth(double now, const Open& o) {
+double Control::worth(double now, Open& o) {
   const Profile& profile = settings_.profiles[at(o.t.profile)];
   if (o.t.plan < 0) return profile.benefit;
   const Plan& plan = settings_.plans[at(o.t.plan)];
   const Volume& v = volume_of(now, o.t);
+  // Danger: a slice of the reservation is less than one transaction where a volume has many hosts, and nearly all
+  // seems to be beyond it. The meter tells what all hosts got; it is old, so a surge may pass for a second or two.
+  const bool inside = v.reserve > 0 || (now < v.use_at + kUseTime && v.use * plan.usual < plan.reservation);
   const double over = v.extra / std::max(plan.weight * unit_share_, 1e-9);
   const double part = std::max(settings_.spare_part, settings_.share_part / (1 + over));
-  return profile.benefit * plan.benefit_factor * (v.reserve > 0 ? 1 : part);
+  o.part = inside ? 1 : part;
+  return profile.benefit * plan.benefit_factor * o.part;
 }
 
 // The final answer for a transaction that is not to be served. At once, never held back.
@@ -474,7 +483,7 @@
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     Node& node = nodes_[i];
     node.weight = 0;
-    if (node.listing != Listing::kReady || !has_room(now, node, o.t.units, o.worth) || is_silent(now, node) ||
+    if (node.listing != Listing::kReady || !has_room(now, node, o) || is_silent(now, node) ||
         cold_room(now, node) < o.t.units) {
       continue;
     }
@@ -508,7 +517,7 @@
   return node.buckets > 0 ? 1 - node.best / unit_time(node) : 0;
 }
 
-bool Control::has_room(double now, const Node& node, double units, double worth) const {
+bool Control::has_room(double now, const Node& node, const Open& o) const {
   if (node.out >= kMostOut) return false;
   // Danger: a node that takes work and answers none. What is out there is trial enough: more would only be
   // served late when it comes back. May hurt where what is out was lost: then nothing goes until its cut-off.
@@ -517,10 +526,10 @@
   // while the recent latency is over the bound's own aim, the least falls steeply; under one, a pause follows
   // each reply. Acts on any crowd: many hosts, a slow or a small node. May hurt where a few very long
   // transactions raise the latency.
-  const double part = now < node.lost_until && worth < node.lost ? kCheapPart : 1;
-  if (now - node.last_sent < node.gap / part) return false;
+  const double part = now < node.lost_until && o.worth < node.lost ? kCheapPart : 1;
+  if (now - node.last_sent < node.gap / o.part) return false;
   const double aim = part * kAimPart * tightest_;
-  if (node.units_out + units <= node.rate * aim) return true;
+  if (node.units_out + o.t.units <= node.rate * aim) return true;
   const double least = part * kLeastOut * std::pow(std::min(1.0, aim / node.latency), kLeastFall);
   if (least >= 1) return node.out < static_cast<int>(least);
   return node.out == 0 && now - node.quiet_since >= std::min(node.latency * (1 / least - 1), kTrialEvery);
--- a/src/control.h
+++ b/src/control.h
@@ -41,7 +41,7 @@
 
   Verdict decide(double now, int id);
   void serve(double now);
-  double worth(double now, const Open& o);
+  double worth(double now, Open& o);
   void answer(double now, int id);
   void close(int id);
   bool again_wanted(const Open& o, const Node& node);
@@ -53,7 +53,7 @@
   void rotated(int picked);
   double unit_time(const Node& node) const;
   double load(const Node& node) const;
-  bool has_room(double now, const Node& node, double units, double worth) const;
+  bool has_room(double now, const Node& node, const Open& o) const;
   bool is_silent(double now, const Node& node) const;
   bool is_cold(double now, const Node& node) const;
   double cold_room(double now, Node& node) const;
--- a/src/state.h
+++ b/src/state.h
@@ -52,6 +52,7 @@
   double cut_off_at = 0;
   double not_before = 0;
   double worth = 0;        // a unit, at the last look
+  double part = 1;         // of the benefit that it earns, at the last look
   double label_until = 0;  // end of the repeat window, counted from the first dispatch that may have run
   int first_node = -1;     // of the first dispatch that may have run
   int dispatches = 0;
@@ -112,6 +113,8 @@
   double mine = 0;
   double others = 0;
   bool told = false;
+  double use = 0;  // served everywhere / usual rate, as the meter told last
+  double use_at = -1e9;
   double reserve = 0;
   double extra = 0;
   double pace = 0;
