--- a/src/control.cpp
+++ b/src/control.cpp
@@ -321,7 +321,7 @@
   o.held = false;
   // Danger: queues full of work whose contract time is past, so that nothing is in time. A node drops what has
   // timed out unbegun. Acts in any crowd; may hurt where many answers come only a little late.
-  host_.dispatch(id, index, now < o.contract_at ? o.contract_at - now : 0);
+  host_.dispatch(id, index, std::min(std::max(o.contract_at - now, kAimPart * tightest_), o.cut_off_at - now));
   return Verdict::kGone;
 }
 
