--- a/src/control.cpp
+++ b/src/control.cpp
@@ -321,7 +321,7 @@
   o.held = false;
   // Danger: queues full of work whose contract time is past, so that nothing is in time. A node drops what has
   // timed out unbegun. Acts in any crowd; may hurt where many answers come only a little late.
-  host_.dispatch(id, index, std::min(std::max(o.contract_at - now, kAimPart * tightest_), o.cut_off_at - now));
+  host_.dispatch(id, index, o.contract_at - now);
   return Verdict::kGone;
 }
 
@@ -340,12 +340,13 @@
     Open& o = open_[at(id)];
     const int index = o.t.shard < 0 ? -1 : place(now, o);
     const bool full = index >= 0 && nodes_[at(index)].full;
-    // Danger: work that can no longer keep its contract time makes the next miss theirs. It goes only to a
-    // node that was sent nothing for a while, as a trial that finds out when an old latency no longer holds.
+    // Danger: work that can no longer keep its contract time makes the next miss theirs. While it seems late only
+    // it goes to a node that was sent nothing for a while, as a trial that finds out when an old latency no
+    // longer holds.
     const Node* node = index >= 0 ? &nodes_[at(index)] : nullptr;
     const double latency = node ? kWaitMargin * std::max(node->wait, 0.0) + node->best * o.t.units : 0;
     const bool late = now + latency >= o.contract_at;
-    const Verdict verdict = full || (late && node && (node->out > 0 || now - node->last_sent < kTrialEvery))
+    const Verdict verdict = full || (late && (now >= o.contract_at || node->out > 0 || now - node->last_sent < kTrialEvery))
                                 ? Verdict::kNodeFull
                                 : decide(now, id);
     if (verdict == Verdict::kNodeFull && !late && index >= 0) nodes_[at(index)].full = true;
