--- a/src/control.cpp
+++ b/src/control.cpp
@@ -31,6 +31,7 @@
 constexpr double kKeep = 0.7;         // a second: what is kept of a volume's told and own service
 constexpr double kRateKeep = 0.7;     // a second: what is kept of the learned rate while the bound is reached
 constexpr double kLatencyGain = 0.2;  // weight of the newest reply in a node's recent latency
+constexpr double kFallGain = 0.4;     // the same for a reply that is quicker than that
 constexpr double kLeastFall = 4;      // power; steep, so that the latency of a crowd stays near the aim
 constexpr double kMostJump = 2;       // latency that one reply may tell, in recent latencies
 constexpr double kWaitMargin = 0.7;   // recent waits to have time for; under 1, as a wait may be an old pause
@@ -165,10 +166,14 @@
   node.units_out -= o.t.units;
   if (!may_still_run) node.quiet_since = now;
   Volume& v = volume_of(now, o.t);
-  if (r.outcome == Outcome::kTimedOut) {
-    const double seen = std::max(kMostJump * r.elapsed, node.latency);
-    node.latency += kLatencyGain * (seen - node.latency);
-    node.wait += kLatencyGain * (std::max(kMostJump * r.elapsed - node.best * o.t.units, node.wait) - node.wait);
+  if (honoured || r.outcome == Outcome::kTimedOut) {
+    // A reply that was not waited for would have come later. Danger: one very heavy transaction, or a pause, looks
+    // like a long queue; so what one reply may say is capped, and good news counts more.
+    const double seen = honoured ? std::min(r.elapsed, kMostJump * std::max(node.latency, kAimPart * tightest_))
+                                 : std::max(kMostJump * r.elapsed, node.latency);
+    const double gain = seen < node.latency ? kFallGain : kLatencyGain;
+    node.latency += gain * (seen - node.latency);
+    node.wait += gain * (seen - node.best * o.t.units - node.wait);
   }
   // Danger: each of hundreds of schedulers sends a node little, and all together drown it. So where even the
   // longest pause is not enough, each bad reply doubles the gap between this scheduler's dispatches there, until
@@ -191,11 +196,6 @@
     node.bucket_time += r.elapsed;
     node.bucket_units += o.t.units;
     node.bucket_replies += 1;
-    // Danger: one very heavy transaction, or a pause, looks like a long queue. What one reply may say is
-    // capped.
-    const double seen = std::min(r.elapsed, kMostJump * std::max(node.latency, kAimPart * tightest_));
-    node.latency += kLatencyGain * (seen - node.latency);
-    node.wait += kLatencyGain * (seen - node.best * o.t.units - node.wait);
     v.mine += o.t.units;
   }
   node.success += kAgainGain * ((honoured ? 1 : 0) - node.success);
