--- a/src/control.cpp
+++ b/src/control.cpp
@@ -53,6 +53,7 @@
 constexpr double kTurnTime = 1.25;    // turn at a cold node, in fall times; a window meets one turn only
 constexpr double kTurnPart = 0.2;     // part of the fall time in which the scheduler in turn sends
 constexpr double kGapGrows = 2;       // gap after a bad reply, in gaps before
+constexpr double kBadPart = 0.25;     // part of bad replies of all nodes from which one is enough for a gap
 constexpr double kGapDrift = 0.9;     // a second: how fast a gap is forgotten
 constexpr int kBudgetSlots = 20;      // parts of the budget's window
 constexpr double kAskFirst = 0.5;     // s before a failed call for the list is made again, doubling
@@ -179,10 +180,12 @@
   // longest pause is not enough, each bad reply doubles the gap between this scheduler's dispatches there, until
   // all together would send one in each aim; only what was sent since the last change counts. A quick reply ends
   // it. Acts in any crowd and at a slow or hung node; may hurt, for a gap, where answers get lost.
+  const bool bad = r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kFull;
+  if (bad || honoured) bad_part_ += kAgainGain * ((bad ? 1 : 0) - bad_part_);
   if (now - r.elapsed >= node.gap_at) {
     const double aim = kAimPart * tightest_;
-    if (r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kFull) {
-      if (node.spacing >= kTrialEvery) {
+    if (bad) {
+      if (node.spacing >= kTrialEvery && (node.bad_before || bad_part_ > kBadPart)) {
         const double grown = std::min(std::max(kGapGrows * node.gap, node.spacing), aim * settings_.schedulers);
         node.gap = grown * std::uniform_real_distribution(0.75, 1.25)(random_);
         node.gap_at = now;
@@ -190,6 +193,7 @@
     } else if (honoured && r.elapsed - node.best * o.t.units < aim) {
       node.gap = 0;
     }
+    if (bad || honoured) node.bad_before = bad;
   }
   if (honoured) {
     node.served += o.t.units;
