--- a/src/control.cpp
+++ b/src/control.cpp
@@ -531,7 +531,9 @@
   // while the recent latency is over the bound's own aim, the least falls steeply; under one, a pause follows
   // each reply. Acts on any crowd: many hosts, a slow or a small node. May hurt where a few very long
   // transactions raise the latency.
-  const double part = now < node.lost_until && o.worth < node.lost ? kCheapPart : 1;
+  // Danger: cheap work that goes out while none better is at hand here stands before other hosts' better work. So
+  // work beyond the reservation has a part of the bound only; may hurt where no host has better.
+  const double part = o.part < 1 || (now < node.lost_until && o.worth < node.lost) ? kCheapPart : 1;
   if (now - node.last_sent < node.gap / o.part) return false;
   const double aim = part * kAimPart * tightest_;
   if (node.units_out + o.t.units <= node.rate * aim) return true;
