--- a/src/control.cpp
+++ b/src/control.cpp
@@ -533,11 +533,12 @@
   // transactions raise the latency.
   // Danger: cheap work that goes out while none better is at hand here stands before other hosts' better work. So
   // work beyond the reservation has a part of the bound only; may hurt where no host has better.
-  const double part = o.part < 1 || (now < node.lost_until && o.worth < node.lost) ? kCheapPart : 1;
+  const double part = std::min(std::sqrt(o.part), now < node.lost_until && o.worth < node.lost ? kCheapPart : 1);
   if (now - node.last_sent < node.gap / o.part) return false;
   const double aim = part * kAimPart * tightest_;
   if (node.units_out + o.t.units <= node.rate * aim) return true;
-  const double least = part * kLeastOut * std::pow(std::min(1.0, aim / node.latency), kLeastFall);
+  const double over = part < 1 ? std::max(node.wait, 1e-6) : node.latency;
+  const double least = part * kLeastOut * std::pow(std::min(1.0, aim / over), kLeastFall);
   if (least >= 1) return node.out < static_cast<int>(least);
   return node.out == 0 && now - node.quiet_since >= std::min(node.latency * (1 / least - 1), kTrialEvery);
 }
