--- a/src/control.cpp
+++ b/src/control.cpp
@@ -528,7 +528,7 @@
   // served late when it comes back. May hurt where what is out was lost: then nothing goes until its cut-off.
   if (is_silent(now, node)) return false;
   // Danger: the least number from each of many hosts is more than a node serves in the contract time. So
-  // while the recent latency is over the bound's own aim, the least falls steeply; under one, a pause follows
+  // while the recent wait is over the bound's own aim, the least falls steeply; under one, a pause follows
   // each reply. Acts on any crowd: many hosts, a slow or a small node. May hurt where a few very long
   // transactions raise the latency.
   // Danger: cheap work that goes out while none better is at hand here stands before other hosts' better work. So
@@ -537,8 +537,7 @@
   if (now - node.last_sent < node.gap / o.part) return false;
   const double aim = part * kAimPart * tightest_;
   if (node.units_out + o.t.units <= node.rate * aim) return true;
-  const double over = part < 1 ? std::max(node.wait, 1e-6) : node.latency;
-  const double least = part * kLeastOut * std::pow(std::min(1.0, aim / over), kLeastFall);
+  const double least = part * kLeastOut * std::pow(std::min(1.0, aim / std::max(node.wait, 1e-6)), kLeastFall);
   if (least >= 1) return node.out < static_cast<int>(least);
   return node.out == 0 && now - node.quiet_since >= std::min(node.latency * (1 / least - 1), kTrialEvery);
 }
