--- a/src/control.cpp
+++ b/src/control.cpp
@@ -36,6 +36,7 @@
 constexpr double kMostJump = 2;       // latency that one reply may tell, in recent latencies
 constexpr double kWaitMargin = 0.7;   // recent waits to have time for; under 1, as a wait may be an old pause
 constexpr double kSweep = 0.01;       // s between two looks at what is held
+constexpr double kStallAfter = 0.05;  // s by which a wake-up is late when this scheduler stood still
 constexpr double kClockSlack = 1e-5;  // s by which a wake-up may seem early; hosts' clocks are rounded
 constexpr double kAnswerMargin = 0.03;  // s before the cut-off at which a held transaction is answered
 constexpr double kSlackUnit = 2.0;      // s: how little the time left counts beside the benefit
@@ -124,6 +125,7 @@
 }
 
 void Control::landed(double now, int id, const Transaction& t) {
+  note_stall(now);
   if (open_.size() <= at(id)) open_.resize(at(id) + 1);
   Open& o = open_[at(id)];
   o = Open{};
@@ -136,6 +138,7 @@
   const Profile& profile = settings_.profiles[at(t.profile)];
   const bool late_counts = profile.late_part >= kLateCounts;
   o.contract_at = std::min(now + (late_counts ? profile.cut_off : profile.contract), o.cut_off_at);
+  if (now == stalled_at_) o.contract_at -= std::clamp(profile.cut_off - t.time_left, 0.0, stalled_for_);
   o.landed_at = now;
   o.contract_at = std::min(o.contract_at, now + patience_[at(t.profile)]);
   const auto past = t.has_key ? past_.find(t.key) : past_.end();
@@ -151,13 +154,19 @@
   if (profile.in_order && t.has_key) lanes_[t.key].line.push_back(id);
   o.held = true;
   held_.push_back(id);
-  serve(now);
+  if (now == stalled_at_) {  // all that came meanwhile is looked at together
+    wake(now, now + settings_.resolution);
+  } else {
+    serve(now);
+  }
 }
 
 void Control::replied(double now, int id, const Reply& r) {
+  note_stall(now);
   Open& o = open_[at(id)];
   Node& node = node_at(r.node);
   const bool honoured = r.outcome == Outcome::kHonoured;
+  const bool tells = now != stalled_at_;
   const bool never_ran =
       r.outcome == Outcome::kFull || r.outcome == Outcome::kNoConnection || r.outcome == Outcome::kMoot;
   const bool may_still_run =
@@ -167,7 +176,7 @@
   node.units_out -= o.t.units;
   if (!may_still_run) node.quiet_since = now;
   Volume& v = volume_of(now, o.t);
-  if (honoured || r.outcome == Outcome::kTimedOut) {
+  if (tells && (honoured || r.outcome == Outcome::kTimedOut)) {
     // A reply that was not waited for would have come later. Danger: one very heavy transaction, or a pause, looks
     // like a long queue; so what one reply may say is capped, and good news counts more.
     const double seen = honoured ? std::min(r.elapsed, kMostJump * std::max(node.latency, kAimPart * tightest_))
@@ -181,8 +190,8 @@
   // all together would send one in each aim; only what was sent since the last change counts. A quick reply ends
   // it. Acts in any crowd and at a slow or hung node; may hurt, for a gap, where answers get lost.
   const bool bad = r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kFull;
-  if (bad || honoured) bad_part_ += kAgainGain * ((bad ? 1 : 0) - bad_part_);
-  if (now - r.elapsed >= node.gap_at) {
+  if (tells && (bad || honoured)) bad_part_ += kAgainGain * ((bad ? 1 : 0) - bad_part_);
+  if (tells && now - r.elapsed >= node.gap_at) {
     const double aim = kAimPart * tightest_;
     if (bad) {
       if (node.spacing >= kTrialEvery && (node.bad_before || bad_part_ > kBadPart)) {
@@ -197,9 +206,11 @@
   }
   if (honoured) {
     node.served += o.t.units;
-    node.bucket_time += r.elapsed;
-    node.bucket_units += o.t.units;
-    node.bucket_replies += 1;
+    if (tells) {
+      node.bucket_time += r.elapsed;
+      node.bucket_units += o.t.units;
+      node.bucket_replies += 1;
+    }
     v.mine += o.t.units;
   }
   node.success += kAgainGain * ((honoured ? 1 : 0) - node.success);
@@ -252,11 +263,10 @@
 }
 
 void Control::woken(double now) {
+  note_stall(now);
   if (now >= ask_at_) ask_for_list(now);
-  while (now >= second_at_) {
-    second_passed(now);
-    second_at_ += kPeriod;
-  }
+  if (now >= second_at_) second_passed(now);
+  while (now >= second_at_) second_at_ += kPeriod;
   serve(now);
 }
 
@@ -364,11 +374,23 @@
   std::erase_if(held_, [&](int id) { return !open_[at(id)].held; });
 
   const double wanted = std::min(held_.empty() ? second_at_ : std::min(second_at_, now + kSweep), ask_at_);
+  wake(now, std::max(wanted, now + kSweep / 2));
+}
+
+void Control::wake(double now, double time) {
   // Danger: a wake-up that comes a rounding early looks as if it were still to come, and none follows it.
-  if (next_wake_ <= now + kClockSlack || wanted < next_wake_) {
-    next_wake_ = std::max(wanted, now + kSweep / 2);
-    host_.wake_at(next_wake_);
-  }
+  if (next_wake_ > now + kClockSlack && time >= next_wake_) return;
+  next_wake_ = time;
+  host_.wake_at(time);
+}
+
+// Danger: this scheduler stood still, and finds all that came meanwhile at once. Its contract time has been running,
+// and what replies took says nothing of their nodes. Known by a wake-up that is long overdue; may hurt where
+// clients in a hurry come just then.
+void Control::note_stall(double now) {
+  if (now == stalled_at_ || now < next_wake_ + kStallAfter) return;
+  stalled_at_ = now;
+  stalled_for_ = now - next_wake_;
 }
 
 // What a dispatch now would earn for each unit.
--- a/src/control.h
+++ b/src/control.h
@@ -61,6 +61,8 @@
   double told_share(const Volume& v) const;
   double cap(const Volume& v, int gear) const;
   bool over_gear(const Volume& v) const;
+  void wake(double now, double time);
+  void note_stall(double now);
   void second_passed(double now);
   void ask_for_list(double now);
 
@@ -73,6 +75,8 @@
   double unit_share_ = 0;  // usual units a second for one of weight
   double bad_part_ = 0;    // of recent replies, over all nodes
   double next_wake_ = 0;
+  double stalled_at_ = -1;
+  double stalled_for_ = 0;
   double second_at_;
   double ask_at_;
   int ask_fails_ = 0;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -238,3 +238,16 @@
   }
   CHECK(s.matches("crowd"));
 }
+
+TEST_CASE("a stall: the age of what came meanwhile is known, and the best of it goes first") {
+  Stage s(plain_settings());
+  s.until(101);
+  s.land(0);
+  s.stall_until(101.8);
+  s.reply(0, Outcome::kHonoured, 0.8);
+  s.land(1, 0, 2, 0, 0, 1, 1.3);
+  s.land(2, 0, 2, 0, 0, 1, 1.7);
+  for (int i = 3; i < 8; ++i) s.land(i, i < 7 ? 0 : 2, 2, 0, i, 1, 1.9);
+  s.until(102.5);
+  CHECK(s.matches("stall"));
+}
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -63,6 +63,8 @@
     }
     now_ = time;
   }
+  // Time passes without them: the scheduler stands still.
+  void stall_until(double time) { now_ = time; }
   void land(int id, int profile = 0, double units = 2, int shard = 0, int volume = 0, std::uint64_t key = 1,
             double left = 2) {
     Transaction t;
