--- a/src/control.cpp
+++ b/src/control.cpp
@@ -55,7 +55,7 @@
 constexpr double kTurnPart = 0.2;     // part of the fall time in which the scheduler in turn sends
 constexpr double kGapGrows = 2;       // gap after a bad reply, in gaps before
 constexpr double kBadPart = 0.25;     // part of bad replies of all nodes from which one is enough for a gap
-constexpr double kGapDrift = 0.9;     // a second: how fast a gap is forgotten
+constexpr double kNewsDrift = 0.9;    // a second: what is kept of a gap and a wait that nothing new is heard of
 constexpr int kBudgetSlots = 20;      // parts of the budget's window
 constexpr double kAskFirst = 0.5;     // s before a failed call for the list is made again, doubling
 constexpr double kAskMost = 6.0;      // s between calls at most
@@ -668,7 +668,8 @@
     } else if (node.pressed) {
       node.rate = kRateKeep * node.rate + (1 - kRateKeep) * served;
     }
-    node.gap *= kGapDrift;
+    node.gap *= kNewsDrift;
+    node.wait *= kNewsDrift;
     node.served = 0;
     node.pressed = false;
     if (node.bucket_replies >= kBucketReplies) {
