--- a/src/control.cpp
+++ b/src/control.cpp
@@ -56,6 +56,8 @@
 constexpr double kGapGrows = 2;       // gap after a bad reply, in gaps before
 constexpr double kBadPart = 0.25;     // part of bad replies of all nodes from which one is enough for a gap
 constexpr double kNewsDrift = 0.9;    // a second: what is kept of a gap and a wait that nothing new is heard of
+constexpr double kColdPart = 0.4;     // part of what pushes a cold node over that all schedulers may send it; work varies
+constexpr double kManagedKeep = 0.9;  // a second: what is kept of a shard's usual service
 constexpr int kBudgetSlots = 20;      // parts of the budget's window
 constexpr double kAskFirst = 0.5;     // s before a failed call for the list is made again, doubling
 constexpr double kAskMost = 6.0;      // s between calls at most
@@ -320,7 +322,10 @@
   v.pace = std::max(v.pace - o.t.units, -largest);
   if (v.reserve <= 0) v.extra += o.t.units;
   v.reserve = std::max(v.reserve - o.t.units, -largest);
-  if (is_cold(now, node)) node.cold_sent.push_back({now, o.t.units});
+  if (is_cold(now, node)) {
+    node.cold_sent.push_back({now, o.t.units});
+    node.cold_store = std::max(node.cold_store - o.t.units, -settings_.largest_units);
+  }
   if (node.out == 0) node.quiet_since = now;
   node.spacing = node.last_sent > 0 ? now - node.last_sent : 0;
   node.last_sent = now;
@@ -572,11 +577,23 @@
   return settings_.has_cold_rule && node.came_up > 0 && now < node.came_up + settings_.cold_time;
 }
 
-// Danger: all schedulers together push a node over that has just come up. The safe number of units grows with
-// the node, never slower than evenly. While an even part of it would not hold the largest transaction, the
-// schedulers take turns by number, one in a fall time; after that each keeps to its part.
-double Control::cold_room(double now, Node& node) const {
+// Danger: all schedulers together push a node over that has just come up. What each was served of the shard before
+// adds up to no more than the node managed, and at its age it manages at least a part that grows evenly. So each
+// sends that part of its own usual rate, times a part of the stated multiple; with random starts, so that the first
+// ones do not meet. Whoever has no usual rate there keeps to the safe number of units: while an even part of it
+// would not hold the largest transaction, the schedulers take turns by number, one in a fall time.
+double Control::cold_room(double now, Node& node) {
   if (!is_cold(now, node)) return kNever;
+  const double share = std::max(settings_.cold_share, 0.01);
+  const double age = std::max(now - node.came_up, 0.0) / settings_.cold_time;
+  if (node.cold_at < node.came_up) {
+    node.cold_at = now;
+    node.cold_store = settings_.mean_units * std::uniform_real_distribution(0.0, 1.0)(random_);
+  }
+  const double usual = at(node.shard) < managed_.size() ? managed_[at(node.shard)] : 0;
+  const double part = kColdPart * settings_.tip_multiple * (share + (1 - share) * age);
+  node.cold_store = std::min(node.cold_store + (now - node.cold_at) * part * usual, settings_.largest_units);
+  node.cold_at = now;
   std::erase_if(node.cold_sent, [&](const Sent& s) { return s.at < now - settings_.fall_time * 1.05; });
   double sent = 0;
   for (const Sent& s : node.cold_sent) sent += s.units;
@@ -584,12 +601,11 @@
   const double turn_time = kTurnTime * settings_.fall_time;
   const double turn = std::floor(std::max(now - node.came_up, 0.0) / turn_time);
   const double aged = std::min(1.0, turn * turn_time / settings_.cold_time);
-  const double share = std::max(settings_.cold_share, 0.01);
   const double safe = settings_.cold_units * (share + (1 - share) * aged) / share;
-  if (safe / schedulers >= settings_.largest_units) return safe / schedulers - sent;
+  if (safe / schedulers >= settings_.largest_units) return std::max(safe / schedulers - sent, node.cold_store);
   const bool mine = static_cast<int>(turn) % schedulers == settings_.index % schedulers;
   const bool open = now - node.came_up - turn * turn_time < kTurnPart * settings_.fall_time;
-  return mine && open ? safe - sent : 0;
+  return std::max(mine && open ? safe - sent : 0, node.cold_store);
 }
 
 // ---- Volumes ----
@@ -670,6 +686,11 @@
     }
     node.gap *= kNewsDrift;
     node.wait *= kNewsDrift;
+    if (node.listing == Listing::kReady && node.shard >= 0 && !is_cold(now, node)) {
+      if (managed_.size() <= at(node.shard)) managed_.resize(at(node.shard) + 1);
+      double& managed = managed_[at(node.shard)];
+      managed = kManagedKeep * managed + (1 - kManagedKeep) * served;
+    }
     node.served = 0;
     node.pressed = false;
     if (node.bucket_replies >= kBucketReplies) {
--- a/src/control.h
+++ b/src/control.h
@@ -56,7 +56,7 @@
   bool has_room(double now, const Node& node, const Open& o) const;
   bool is_silent(double now, const Node& node) const;
   bool is_cold(double now, const Node& node) const;
-  double cold_room(double now, Node& node) const;
+  double cold_room(double now, Node& node);
   Volume& volume_of(double now, const Transaction& t);
   double told_share(const Volume& v) const;
   double cap(const Volume& v, int gear) const;
@@ -84,6 +84,7 @@
   std::vector<int> held_;   // in order of landing; emptied as they go out or are answered
   std::vector<std::pair<double, int>> order_;  // scratch of serve()
   std::vector<Node> nodes_;                    // by node; as many as were listed since the start
+  std::vector<double> managed_;                // by shard: usual service, units a second; as many as listed
   std::vector<Volume> volumes_;                // by volume; as many as there are
   std::map<std::uint64_t, Past> past_;         // by key: answered unserved; erased at the cut-off
   std::vector<double> patience_;               // by profile: how long clients waited that left early
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -118,6 +118,7 @@
   s.index = static_cast<int>(line.integer("index", 0));
   s.schedulers = static_cast<int>(line.integer("balancers", 1));
   s.largest_units = line.number("family-info.largest", 1.0);
+  s.mean_units = line.number("family-info.mean-units", 0.0);
   s.share_part = line.number("family-info.share-worth", 1.0);
   s.spare_part = line.number("family-info.spare-worth", 1.0);
   s.dispatch_cap = static_cast<int>(line.integer("allowed.attempts-cap", 1));
@@ -129,6 +130,7 @@
     s.cold_units = line.number("family-info.cold-units", 0.0);
     s.cold_share = line.number("rules.cold-share", 0.0);
     s.cold_time = kMicro * line.number("rules.cold");
+    s.tip_multiple = line.number("rules.tip-multiple", 0.0);
     s.fall_time = kMicro * line.number("rules.fall");
   }
   s.has_budget = line.find("rules.extra-window").has_value();
--- a/src/settings.h
+++ b/src/settings.h
@@ -37,6 +37,7 @@
   std::vector<Profile> profiles;
   std::vector<Plan> plans;
   double largest_units = 0;
+  double mean_units = 0;
   double share_part = 0;
   double spare_part = 0;
   int dispatch_cap = 0;
@@ -48,6 +49,7 @@
   double cold_share = 0;
   double cold_time = 0;
   double fall_time = 0;
+  double tip_multiple = 0;
   bool has_budget = false;
   double budget_free = 0;
   double budget_share = 0;
--- a/src/state.h
+++ b/src/state.h
@@ -100,6 +100,8 @@
   double again_success = 1;
   double weight = 0;
   double turn = 0;
+  double cold_store = 0;  // units that may go while it is cold
+  double cold_at = -1;    // when that was last filled
   std::vector<Sent> cold_sent;  // of the last fall time; emptied as it passes
 };
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -83,13 +83,19 @@
   CHECK(s.matches("drains"));
 }
 
-TEST_CASE("cold nodes: by turns first, then each its part") {
+Settings cold_settings() {
   Settings settings = plain_settings();
   settings.has_cold_rule = true;
   settings.cold_units = 8;
   settings.cold_share = 0.2;
   settings.cold_time = 10;
   settings.fall_time = 1;
+  settings.tip_multiple = settings.mean_units = 2;
+  return settings;
+}
+
+TEST_CASE("cold nodes: by turns first, then each its part") {
+  Settings settings = cold_settings();
   settings.index = 1;
   Stage s(settings, {listed(0, 0, Listing::kReady, 100)});
   for (int i = 0; i < 40; ++i) {
@@ -101,6 +107,21 @@
   CHECK(s.matches("cold"));
 }
 
+TEST_CASE("cold nodes: what many schedulers were served there before goes on, in a part that grows") {
+  Settings settings = cold_settings();
+  settings.schedulers = 100;
+  settings.index = 99;
+  Stage s(settings);
+  for (int i = 0; i < 17; ++i) {
+    s.until(101 + i);
+    if (i == 6) s.news(Scope::kChanges, {listed(0, 0, Listing::kReady, 107)});
+    s.land(i);
+    s.until(101.1 + i);
+    s.reply_all(Outcome::kHonoured);
+  }
+  CHECK(s.matches("usual"));
+}
+
 TEST_CASE("order: one at a time for a key, rested after a time-out") {
   Settings settings = plain_settings();
   settings.turn_gap = 0.2;
