--- a/src/control.cpp
+++ b/src/control.cpp
@@ -55,8 +55,9 @@
 constexpr double kTurnPart = 0.2;     // part of the fall time in which the scheduler in turn sends
 constexpr double kGapGrows = 2;       // gap after a bad reply, in gaps before
 constexpr double kBadPart = 0.25;     // part of bad replies of all nodes from which one is enough for a gap
-constexpr double kNewsDrift = 0.9;    // a second: what is kept of a gap and a wait that nothing new is heard of
-constexpr double kColdPart = 0.4;     // part of what pushes a cold node over that all schedulers may send it; work varies
+constexpr double kNewsDrift = 0.9;  // a second: what is kept of a gap and a wait that nothing new is heard of
+constexpr double kColdPart =
+    0.4;  // part of what pushes a cold node over that all schedulers may send it; work varies
 constexpr double kManagedKeep = 0.9;  // a second: what is kept of a shard's usual service
 constexpr int kBudgetSlots = 20;      // parts of the budget's window
 constexpr double kAskFirst = 0.5;     // s before a failed call for the list is made again, doubling
@@ -179,25 +180,27 @@
   if (!may_still_run) node.quiet_since = now;
   Volume& v = volume_of(now, o.t);
   if (tells && (honoured || r.outcome == Outcome::kTimedOut)) {
-    // A reply that was not waited for would have come later. Danger: one very heavy transaction, or a pause, looks
-    // like a long queue; so what one reply may say is capped, and good news counts more.
-    const double seen = honoured ? std::min(r.elapsed, kMostJump * std::max(node.latency, kAimPart * tightest_))
-                                 : std::max(kMostJump * r.elapsed, node.latency);
+    // A reply that was not waited for would have come later. Danger: one very heavy transaction, or a pause,
+    // looks like a long queue; so what one reply may say is capped, and good news counts more.
+    const double seen = honoured
+                            ? std::min(r.elapsed, kMostJump * std::max(node.latency, kAimPart * tightest_))
+                            : std::max(kMostJump * r.elapsed, node.latency);
     const double gain = seen < node.latency ? kFallGain : kLatencyGain;
     node.latency += gain * (seen - node.latency);
     node.wait += gain * (seen - node.best * o.t.units - node.wait);
   }
   // Danger: each of hundreds of schedulers sends a node little, and all together drown it. So where even the
-  // longest pause is not enough, each bad reply doubles the gap between this scheduler's dispatches there, until
-  // all together would send one in each aim; only what was sent since the last change counts. A quick reply ends
-  // it. Acts in any crowd and at a slow or hung node; may hurt, for a gap, where answers get lost.
+  // longest pause is not enough, each bad reply doubles the gap between this scheduler's dispatches there,
+  // until all together would send one in each aim; only what was sent since the last change counts. A quick
+  // reply ends it. Acts in any crowd and at a slow or hung node; may hurt, for a gap, where answers get lost.
   const bool bad = r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kFull;
   if (tells && (bad || honoured)) bad_part_ += kAgainGain * ((bad ? 1 : 0) - bad_part_);
   if (tells && now - r.elapsed >= node.gap_at) {
     const double aim = kAimPart * tightest_;
     if (bad) {
       if (node.spacing >= kTrialEvery && (node.bad_before || bad_part_ > kBadPart)) {
-        const double grown = std::min(std::max(kGapGrows * node.gap, node.spacing), aim * settings_.schedulers);
+        const double grown =
+            std::min(std::max(kGapGrows * node.gap, node.spacing), aim * settings_.schedulers);
         node.gap = grown * std::uniform_real_distribution(0.75, 1.25)(random_);
         node.gap_at = now;
       }
@@ -338,8 +341,8 @@
   o.dispatches += 1;
   o.out += 1;
   o.held = false;
-  // Danger: queues full of work whose contract time is past, so that nothing is in time. A node drops what has
-  // timed out unbegun. Acts in any crowd; may hurt where many answers come only a little late.
+  // Danger: queues full of work whose contract time is past, so that nothing is in time. A node drops what
+  // has timed out unbegun. Acts in any crowd; may hurt where many answers come only a little late.
   host_.dispatch(id, index, o.contract_at - now);
   return Verdict::kGone;
 }
@@ -359,15 +362,16 @@
     Open& o = open_[at(id)];
     const int index = o.t.shard < 0 ? -1 : place(now, o);
     const bool full = index >= 0 && nodes_[at(index)].full;
-    // Danger: work that can no longer keep its contract time makes the next miss theirs. While it seems late only
-    // it goes to a node that was sent nothing for a while, as a trial that finds out when an old latency no
-    // longer holds.
+    // Danger: work that can no longer keep its contract time makes the next miss theirs. While it seems late
+    // only it goes to a node that was sent nothing for a while, as a trial that finds out when an old latency
+    // no longer holds.
     const Node* node = index >= 0 ? &nodes_[at(index)] : nullptr;
     const double latency = node ? kWaitMargin * std::max(node->wait, 0.0) + node->best * o.t.units : 0;
     const bool late = now + latency >= o.contract_at;
-    const Verdict verdict = full || (late && (now >= o.contract_at || node->out > 0 || now - node->last_sent < kTrialEvery))
-                                ? Verdict::kNodeFull
-                                : decide(now, id);
+    const Verdict verdict =
+        full || (late && (now >= o.contract_at || node->out > 0 || now - node->last_sent < kTrialEvery))
+            ? Verdict::kNodeFull
+            : decide(now, id);
     if (verdict == Verdict::kNodeFull && !late && index >= 0) nodes_[at(index)].full = true;
     if (!o.held || (!late && now + answer_margin_ < o.cut_off_at)) continue;
     if (index >= 0 && (o.worth >= node->lost || now >= nodes_[at(index)].lost_until)) {
@@ -389,9 +393,9 @@
   host_.wake_at(time);
 }
 
-// Danger: this scheduler stood still, and finds all that came meanwhile at once. Its contract time has been running,
-// and what replies took says nothing of their nodes. Known by a wake-up that is long overdue; may hurt where
-// clients in a hurry come just then.
+// Danger: this scheduler stood still, and finds all that came meanwhile at once. Its contract time has been
+// running, and what replies took says nothing of their nodes. Known by a wake-up that is long overdue; may
+// hurt where clients in a hurry come just then.
 void Control::note_stall(double now) {
   if (now == stalled_at_ || now < next_wake_ + kStallAfter) return;
   stalled_at_ = now;
@@ -404,8 +408,9 @@
   if (o.t.plan < 0) return profile.benefit;
   const Plan& plan = settings_.plans[at(o.t.plan)];
   const Volume& v = volume_of(now, o.t);
-  // Danger: a slice of the reservation is less than one transaction where a volume has many hosts, and nearly all
-  // seems to be beyond it. The meter tells what all hosts got; it is old, so a surge may pass for a second or two.
+  // Danger: a slice of the reservation is less than one transaction where a volume has many hosts, and nearly
+  // all seems to be beyond it. The meter tells what all hosts got; it is old, so a surge may pass for a
+  // second or two.
   const bool inside = v.reserve > 0 || (now < v.use_at + kUseTime && v.use * plan.usual < plan.reservation);
   const double over = v.extra / std::max(plan.weight * unit_share_, 1e-9);
   const double part = std::max(settings_.spare_part, settings_.share_part / (1 + over));
@@ -558,13 +563,15 @@
   // while the recent wait is over the bound's own aim, the least falls steeply; under one, a pause follows
   // each reply. Acts on any crowd: many hosts, a slow or a small node. May hurt where a few very long
   // transactions raise the latency.
-  // Danger: cheap work that goes out while none better is at hand here stands before other hosts' better work. So
-  // work beyond the reservation has a part of the bound only; may hurt where no host has better.
-  const double part = std::min(std::sqrt(o.part), now < node.lost_until && o.worth < node.lost ? kCheapPart : 1);
+  // Danger: cheap work that goes out while none better is at hand here stands before other hosts' better
+  // work. So work beyond the reservation has a part of the bound only; may hurt where no host has better.
+  const double part =
+      std::min(std::sqrt(o.part), now < node.lost_until && o.worth < node.lost ? kCheapPart : 1);
   if (now - node.last_sent < node.gap / o.part) return false;
   const double aim = part * kAimPart * tightest_;
   if (node.units_out + o.t.units <= node.rate * aim) return true;
-  const double least = part * kLeastOut * std::pow(std::min(1.0, aim / std::max(node.wait, 1e-6)), kLeastFall);
+  const double least =
+      part * kLeastOut * std::pow(std::min(1.0, aim / std::max(node.wait, 1e-6)), kLeastFall);
   if (least >= 1) return node.out < static_cast<int>(least);
   return node.out == 0 && now - node.quiet_since >= std::min(node.latency * (1 / least - 1), kTrialEvery);
 }
@@ -577,11 +584,12 @@
   return settings_.has_cold_rule && node.came_up > 0 && now < node.came_up + settings_.cold_time;
 }
 
-// Danger: all schedulers together push a node over that has just come up. What each was served of the shard before
-// adds up to no more than the node managed, and at its age it manages at least a part that grows evenly. So each
-// sends that part of its own usual rate, times a part of the stated multiple; with random starts, so that the first
-// ones do not meet. Whoever has no usual rate there keeps to the safe number of units: while an even part of it
-// would not hold the largest transaction, the schedulers take turns by number, one in a fall time.
+// Danger: all schedulers together push a node over that has just come up. What each was served of the shard
+// before adds up to no more than the node managed, and at its age it manages at least a part that grows
+// evenly. So each sends that part of its own usual rate, times a part of the stated multiple; with random
+// starts, so that the first ones do not meet. Whoever has no usual rate there keeps to the safe number of
+// units: while an even part of it would not hold the largest transaction, the schedulers take turns by
+// number, one in a fall time.
 double Control::cold_room(double now, Node& node) {
   if (!is_cold(now, node)) return kNever;
   const double share = std::max(settings_.cold_share, 0.01);
@@ -602,7 +610,8 @@
   const double turn = std::floor(std::max(now - node.came_up, 0.0) / turn_time);
   const double aged = std::min(1.0, turn * turn_time / settings_.cold_time);
   const double safe = settings_.cold_units * (share + (1 - share) * aged) / share;
-  if (safe / schedulers >= settings_.largest_units) return std::max(safe / schedulers - sent, node.cold_store);
+  if (safe / schedulers >= settings_.largest_units)
+    return std::max(safe / schedulers - sent, node.cold_store);
   const bool mine = static_cast<int>(turn) % schedulers == settings_.index % schedulers;
   const bool open = now - node.came_up - turn * turn_time < kTurnPart * settings_.fall_time;
   return std::max(mine && open ? safe - sent : 0, node.cold_store);
--- a/src/state.h
+++ b/src/state.h
@@ -78,13 +78,13 @@
   double units_out = 0;
   double quiet_since = 0;
   double last_sent = 0;
-  double spacing = 0;  // between the last two dispatches
-  double gap = 0;      // least time between two dispatches
-  double gap_at = 0;   // when it last grew
+  double spacing = 0;       // between the last two dispatches
+  double gap = 0;           // least time between two dispatches
+  double gap_at = 0;        // when it last grew
   bool bad_before = false;  // the last reply
-  double lost = 0;        // the most that was turned back here lately, a unit
-  double lost_until = 0;  // when that is forgotten
-  double rate = 0;        // learned, units a second
+  double lost = 0;          // the most that was turned back here lately, a unit
+  double lost_until = 0;    // when that is forgotten
+  double rate = 0;          // learned, units a second
   double served = 0;
   bool pressed = false;  // the bound was reached in this period
   bool full = false;     // no more in this look at what is held
@@ -100,8 +100,8 @@
   double again_success = 1;
   double weight = 0;
   double turn = 0;
-  double cold_store = 0;  // units that may go while it is cold
-  double cold_at = -1;    // when that was last filled
+  double cold_store = 0;        // units that may go while it is cold
+  double cold_at = -1;          // when that was last filled
   std::vector<Sent> cold_sent;  // of the last fall time; emptied as it passes
 };
 
