--- a/src/control.cpp
+++ b/src/control.cpp
@@ -143,6 +143,7 @@
   o.contract_at = std::min(now + (late_counts ? profile.cut_off : profile.contract), o.cut_off_at);
   if (now == stalled_at_) o.contract_at -= std::clamp(profile.cut_off - t.time_left, 0.0, stalled_for_);
   o.landed_at = now;
+  o.draw = std::uniform_real_distribution(0.0, 1.0)(random_);
   o.contract_at = std::min(o.contract_at, now + patience_[at(t.profile)]);
   const auto past = t.has_key ? past_.find(t.key) : past_.end();
   if (past != past_.end() && past->second.volume == t.volume && past->second.profile == t.profile &&
@@ -313,6 +314,10 @@
   // The gear: a volume over its cap waits at a loaded node.
   if (load(node) >= kThreshold && over_gear(v) && v.pace < 0) return Verdict::kHeld;
 
+  // Danger: a surge everywhere is over before each node's gap has grown. While many replies of all nodes are bad,
+  // only a part of the work goes out, the better rather.
+  if (bad_part_ > kBadPart && o.draw > (1 - bad_part_) / (1 - kBadPart) * o.part) return Verdict::kHeld;
+
   // Our bound on units out.
   if (!has_room(now, node, o)) {
     node.pressed = true;
