--- a/src/control.cpp
+++ b/src/control.cpp
@@ -46,7 +46,6 @@
 constexpr double kLostTime = 1.0;       // s for which a node remembers what was turned back
 constexpr double kCheapPart = 0.5;      // part of the bound for what is worth less than that
 constexpr double kUseTime = 3.0;        // s for which the meter's last word on a volume holds
-constexpr double kSilentAfter = 1.0;    // s without any reply while dispatches are out
 constexpr double kTrialEvery = 0.5;   // s after which late work goes as a trial; longest pause under one out
 constexpr double kAgainPause = 0.03;  // s before a further dispatch, times the dispatches so far
 constexpr double kAgainFloor = 0.1;   // least chance of a further dispatch, so that health is found again
@@ -525,7 +524,7 @@
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     Node& node = nodes_[i];
     node.weight = 0;
-    if (node.listing != Listing::kReady || !has_room(now, node, o) || is_silent(now, node) ||
+    if (node.listing != Listing::kReady || !has_room(now, node, o) ||
         cold_room(now, node) < o.t.units) {
       continue;
     }
@@ -561,9 +560,6 @@
 
 bool Control::has_room(double now, const Node& node, const Open& o) const {
   if (node.out >= kMostOut) return false;
-  // Danger: a node that takes work and answers none. What is out there is trial enough: more would only be
-  // served late when it comes back. May hurt where what is out was lost: then nothing goes until its cut-off.
-  if (is_silent(now, node)) return false;
   // Danger: the least number from each of many hosts is more than a node serves in the contract time. So
   // while the recent wait is over the bound's own aim, the least falls steeply; under one, a pause follows
   // each reply. Acts on any crowd: many hosts, a slow or a small node. May hurt where a few very long
@@ -581,10 +577,6 @@
   return node.out == 0 && now - node.quiet_since >= std::min(node.latency * (1 / least - 1), kTrialEvery);
 }
 
-bool Control::is_silent(double now, const Node& node) const {
-  return node.out > 0 && now - node.quiet_since > kSilentAfter;
-}
-
 bool Control::is_cold(double now, const Node& node) const {
   return settings_.has_cold_rule && node.came_up > 0 && now < node.came_up + settings_.cold_time;
 }
--- a/src/control.h
+++ b/src/control.h
@@ -54,7 +54,6 @@
   double unit_time(const Node& node) const;
   double load(const Node& node) const;
   bool has_room(double now, const Node& node, const Open& o) const;
-  bool is_silent(double now, const Node& node) const;
   bool is_cold(double now, const Node& node) const;
   double cold_room(double now, Node& node);
   Volume& volume_of(double now, const Transaction& t);
