--- a/src/control.cpp
+++ b/src/control.cpp
@@ -43,8 +43,6 @@
 constexpr double kLateCounts = 0.5;     // part of the benefit from which a late answer is worth its work
 constexpr double kSameCutOff = 0.01;    // s by which the cut-offs of a try and its repeat may differ
 constexpr double kPatienceDrift = 1.2;  // a second: how fast a client that left early is forgotten
-constexpr double kLostTime = 1.0;       // s for which a node remembers what was turned back
-constexpr double kCheapPart = 0.5;      // part of the bound for what is worth less than that
 constexpr double kUseTime = 3.0;        // s for which the meter's last word on a volume holds
 constexpr double kTrialEvery = 0.5;   // s after which late work goes as a trial; longest pause under one out
 constexpr double kAgainPause = 0.03;  // s before a further dispatch, times the dispatches so far
@@ -378,10 +376,6 @@
             : decide(now, id);
     if (verdict == Verdict::kNodeFull && !late && index >= 0) nodes_[at(index)].full = true;
     if (!o.held || (!late && now + answer_margin_ < o.cut_off_at)) continue;
-    if (index >= 0 && (o.worth >= node->lost || now >= nodes_[at(index)].lost_until)) {
-      nodes_[at(index)].lost = o.worth;
-      nodes_[at(index)].lost_until = now + kLostTime;
-    }
     answer(now, id);
   }
   std::erase_if(held_, [&](int id) { return !open_[at(id)].held; });
@@ -566,8 +560,7 @@
   // transactions raise the latency.
   // Danger: cheap work that goes out while none better is at hand here stands before other hosts' better
   // work. So work beyond the reservation has a part of the bound only; may hurt where no host has better.
-  const double part =
-      std::min(std::sqrt(o.part), now < node.lost_until && o.worth < node.lost ? kCheapPart : 1);
+  const double part = std::sqrt(o.part);
   if (now - node.last_sent < node.gap / o.part) return false;
   const double aim = part * kAimPart * tightest_;
   if (node.units_out + o.t.units <= node.rate * aim) return true;
--- a/src/state.h
+++ b/src/state.h
@@ -83,8 +83,6 @@
   double gap = 0;           // least time between two dispatches
   double gap_at = 0;        // when it last grew
   bool bad_before = false;  // the last reply
-  double lost = 0;          // the most that was turned back here lately, a unit
-  double lost_until = 0;    // when that is forgotten
   double rate = 0;          // learned, units a second
   double served = 0;
   bool pressed = false;  // the bound was reached in this period
