--- a/src/control.cpp
+++ b/src/control.cpp
@@ -191,7 +191,8 @@
   // longest pause is not enough, each bad reply doubles the gap between this scheduler's dispatches there,
   // until all together would send one in each aim; only what was sent since the last change counts. A quick
   // reply ends it. Acts in any crowd and at a slow or hung node; may hurt, for a gap, where answers get lost.
-  const bool bad = r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kFull;
+  const bool bad = r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kFull ||
+                   (honoured && now > o.contract_at);
   if (tells && (bad || honoured)) bad_part_ += kAgainGain * ((bad ? 1 : 0) - bad_part_);
   if (tells && now - r.elapsed >= node.gap_at) {
     const double aim = kAimPart * tightest_;
@@ -343,9 +344,11 @@
   o.dispatches += 1;
   o.out += 1;
   o.held = false;
-  // Danger: queues full of work whose contract time is past, so that nothing is in time. A node drops what
-  // has timed out unbegun. Acts in any crowd; may hurt where many answers come only a little late.
-  host_.dispatch(id, index, o.contract_at - now);
+  // Danger: queues full of work whose contract time is past, so that nothing is in time. A node drops what has
+  // timed out unbegun. Acts in any crowd; as answers a little late earn something too, the fewer replies are bad
+  // the longer they are waited for, up to one tightest contract time more.
+  const double calm = std::max(1 - bad_part_ / kBadPart, 0.0);
+  host_.dispatch(id, index, std::min(o.contract_at + calm * tightest_, o.cut_off_at) - now);
   return Verdict::kGone;
 }
 
