--- a/src/control.cpp
+++ b/src/control.cpp
@@ -85,7 +85,10 @@
     weights += p.weight;
   }
   unit_share_ = weights > 0 ? rates / weights : 0;
-  for (const Profile& p : settings_.profiles) tightest_ = std::min(tightest_, p.contract);
+  for (const Profile& p : settings_.profiles) {
+    tightest_ = std::min(tightest_, p.contract);
+    best_benefit_ = std::max(best_benefit_, p.benefit);
+  }
   if (settings_.asks_for_list) ask_for_list(now);
   serve(now);
 }
@@ -415,8 +418,8 @@
   const bool inside = v.reserve > 0 || (now < v.use_at + kUseTime && v.use * plan.usual < plan.reservation);
   const double over = v.extra / std::max(plan.weight * unit_share_, 1e-9);
   const double part = std::max(settings_.spare_part, settings_.share_part / (1 + over));
-  o.part = inside ? 1 : part;
-  return profile.benefit * plan.benefit_factor * o.part;
+  o.part = (inside ? 1 : part) * profile.benefit / best_benefit_;
+  return o.part * best_benefit_ * plan.benefit_factor;
 }
 
 // The final answer for a transaction that is not to be served. At once, never held back.
