--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -15,6 +15,15 @@
   CHECK(s.matches("bound"));
 }
 
+TEST_CASE("parts of the bound: work worth a quarter a unit has half of it") {
+  Settings settings = plain_settings();
+  settings.profiles[1].benefit = 0.25;
+  Stage s(settings);
+  s.until(102);  // the slices of the reservation are filled
+  for (int i = 0; i < 8; ++i) s.land(i, i < 4 ? 1 : 0, 1, 0, i);
+  CHECK(s.matches("parts"));
+}
+
 TEST_CASE("gears: a volume over its cap is held at a loaded node, never below its reservation") {
   Stage s(plain_settings());
   int id = 0;
