--- a/src/control.cpp
+++ b/src/control.cpp
@@ -47,11 +47,13 @@
 constexpr double kTrialEvery = 0.5;   // s after which late work goes as a trial; longest pause under one out
 constexpr double kAgainPause = 0.03;  // s before a further dispatch, times the dispatches so far
 constexpr double kAgainFloor = 0.1;   // least chance of a further dispatch, so that health is found again
-constexpr double kAgainGain = 0.1;    // weight of the newest further dispatch
-constexpr double kTurnTime = 1.25;    // turn at a cold node, in fall times; a window meets one turn only
-constexpr double kTurnPart = 0.2;     // part of the fall time in which the scheduler in turn sends
-constexpr double kGapGrows = 2;       // gap after a bad reply, in gaps before
-constexpr double kBadPart = 0.25;     // part of bad replies of all nodes from which one is enough for a gap
+constexpr double kAgainGain =
+    0.1;  // weight of the newest in what follows few events: further dispatches, all bad replies
+constexpr double kTurnTime = 1.25;  // turn at a cold node, in fall times; a window meets one turn only
+constexpr double kTurnPart = 0.2;   // part of the fall time in which the scheduler in turn sends
+constexpr double kGapGrows = 2;     // gap after a bad reply, in gaps before
+constexpr double kBadPart =
+    0.25;  // part of bad replies of all nodes from which one makes a gap and work is thinned
 constexpr double kNewsDrift = 0.9;  // a second: what is kept of a gap and a wait that nothing new is heard of
 constexpr double kColdPart =
     0.4;  // part of what pushes a cold node over that all schedulers may send it; work varies
@@ -194,8 +196,8 @@
   // longest pause is not enough, each bad reply doubles the gap between this scheduler's dispatches there,
   // until all together would send one in each aim; only what was sent since the last change counts. A quick
   // reply ends it. Acts in any crowd and at a slow or hung node; may hurt, for a gap, where answers get lost.
-  const bool bad = r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kFull ||
-                   (honoured && now > o.contract_at);
+  const bool bad =
+      r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kFull || (honoured && now > o.contract_at);
   if (tells && (bad || honoured)) bad_part_ += kAgainGain * ((bad ? 1 : 0) - bad_part_);
   if (tells && now - r.elapsed >= node.gap_at) {
     const double aim = kAimPart * tightest_;
@@ -315,8 +317,8 @@
   // The gear: a volume over its cap waits at a loaded node.
   if (load(node) >= kThreshold && over_gear(v) && v.pace < 0) return Verdict::kHeld;
 
-  // Danger: a surge everywhere is over before each node's gap has grown. While many replies of all nodes are bad,
-  // only a part of the work goes out, the better rather.
+  // Danger: a surge everywhere is over before each node's gap has grown. While many replies of all nodes are
+  // bad, only a part of the work goes out, the better rather.
   if (bad_part_ > kBadPart && o.draw > (1 - bad_part_) / (1 - kBadPart) * o.part) return Verdict::kHeld;
 
   // Our bound on units out.
@@ -347,9 +349,9 @@
   o.dispatches += 1;
   o.out += 1;
   o.held = false;
-  // Danger: queues full of work whose contract time is past, so that nothing is in time. A node drops what has
-  // timed out unbegun. Acts in any crowd; as answers a little late earn something too, the fewer replies are bad
-  // the longer they are waited for, up to one tightest contract time more.
+  // Danger: queues full of work whose contract time is past, so that nothing is in time. A node drops what
+  // has timed out unbegun. Acts in any crowd; as answers a little late earn something too, the fewer replies
+  // are bad the longer they are waited for, up to one tightest contract time more.
   const double calm = std::max(1 - bad_part_ / kBadPart, 0.0);
   host_.dispatch(id, index, std::min(o.contract_at + calm * tightest_, o.cut_off_at) - now);
   return Verdict::kGone;
@@ -524,8 +526,7 @@
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     Node& node = nodes_[i];
     node.weight = 0;
-    if (node.listing != Listing::kReady || !has_room(now, node, o) ||
-        cold_room(now, node) < o.t.units) {
+    if (node.listing != Listing::kReady || !has_room(now, node, o) || cold_room(now, node) < o.t.units) {
       continue;
     }
     node.weight = (node.buckets > 0 ? 1 / unit_time(node) : usual) * std::max(node.success, kAgainFloor);
--- a/src/control.h
+++ b/src/control.h
@@ -72,8 +72,8 @@
   const double answer_margin_;
   double tightest_;
   double best_benefit_ = 1e-9;  // of a profile
-  double unit_share_ = 0;  // usual units a second for one of weight
-  double bad_part_ = 0;    // of recent replies, over all nodes
+  double unit_share_ = 0;       // usual units a second for one of weight
+  double bad_part_ = 0;         // of recent replies, over all nodes
   double next_wake_ = 0;
   double stalled_at_ = -1;
   double stalled_for_ = 0;
--- a/src/state.h
+++ b/src/state.h
@@ -51,7 +51,7 @@
   double contract_at = 0;
   double cut_off_at = 0;
   double not_before = 0;
-  double draw = 0;  // of chance, from 0 to 1
+  double draw = 0;         // of chance, from 0 to 1
   double worth = 0;        // a unit, at the last look
   double part = 1;         // of the benefit that it earns, at the last look
   double label_until = 0;  // end of the repeat window, counted from the first dispatch that may have run
