Event loop, NVMe/TCP at both ends, and the scheduler's gateway over them

Change: src/loop (poll(2), timers, bounded streams with the kernel's arrival marks), src/nvme (PDU framing, digests, host and controller ends), src/config (TOML with places of errors), src/gateway (Control's host on sockets), heronworks serve and check; CMake option HERONWORKS_PRODUCT, so that the deploy build needs no package still.

--- /dev/null
+++ b/src/config/reader.cpp
@@ -0,0 +1,195 @@
+// TOML with places: see reader.h.
+#include "config/reader.h"
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
+namespace heronworks::config {
+namespace {
+
+std::string shown(double value) {
+  std::ostringstream out;
+  out << value;
+  return out.str();
+}
+
+std::size_t edits(const std::string& a, const std::string& b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  for (std::size_t j = 0; j <= b.size(); ++j) row[j] = j;
+  for (std::size_t i = 1; i <= a.size(); ++i) {
+    std::size_t diagonal = std::exchange(row[0], i);
+    for (std::size_t j = 1; j <= b.size(); ++j) {
+      const std::size_t change = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+      diagonal = row[j];
+      row[j] = std::min({row[j] + 1, row[j - 1] + 1, change});
+    }
+  }
+  return row[b.size()];
+}
+
+}  // namespace
+
+std::string Problem::shown() const {
+  return file + ":" + std::to_string(line) + ":" + std::to_string(column) + ": " +
+         (field.empty() ? "" : field + ": ") + text;
+}
+
+std::string nearest(const std::string& word, const std::vector<std::string>& words) {
+  std::string best;
+  std::size_t least = std::max<std::size_t>(2, word.size() / 3) + 1;
+  for (const std::string& w : words) {
+    if (const auto n = edits(word, w); n < least) {
+      least = n;
+      best = w;
+    }
+  }
+  return best;
+}
+
+void Section::complain(const std::string& key, const std::string& text) const {
+  const toml::node* node = key.empty() ? nullptr : table_->get(key);
+  const auto& place = node ? node->source() : table_->source();
+  problems_->push_back({file_, place.begin.line, place.begin.column, field(key), text});
+}
+
+const toml::node* Section::find(const std::string& key) {
+  known_.insert(key);
+  return table_->get(key);
+}
+
+double Section::number(const std::string& key, double absent, double least, double most) {
+  const toml::node* node = find(key);
+  if (!node) return absent;
+  const auto value = node->value<double>();
+  if (!value || !std::isfinite(*value)) return complain(key, "must be a number"), absent;
+  if (*value < least || *value > most) {
+    return complain(key, "must be from " + shown(least) + " to " + shown(most) + ", is " + shown(*value)), absent;
+  }
+  return *value;
+}
+
+double Section::need_number(const std::string& key, double least, double most) {
+  if (!has(key)) return find(key), complain("", "'" + key + "' is missing"), least;
+  return number(key, least, least, most);
+}
+
+std::int64_t Section::integer(const std::string& key, std::int64_t absent, std::int64_t least, std::int64_t most) {
+  const toml::node* node = find(key);
+  if (!node) return absent;
+  const auto value = node->value_exact<std::int64_t>();
+  if (!value) return complain(key, "must be a whole number"), absent;
+  if (*value < least || *value > most) {
+    return complain(key, "must be from " + std::to_string(least) + " to " + std::to_string(most) + ", is " +
+                             std::to_string(*value)),
+           absent;
+  }
+  return *value;
+}
+
+std::int64_t Section::need_integer(const std::string& key, std::int64_t least, std::int64_t most) {
+  if (!has(key)) return find(key), complain("", "'" + key + "' is missing"), least;
+  return integer(key, least, least, most);
+}
+
+std::string Section::text(const std::string& key, const std::string& absent) {
+  const toml::node* node = find(key);
+  if (!node) return absent;
+  const auto value = node->value_exact<std::string>();
+  if (!value) return complain(key, "must be a text"), absent;
+  return *value;
+}
+
+std::string Section::need_text(const std::string& key) {
+  if (!has(key)) return find(key), complain("", "'" + key + "' is missing"), "";
+  return text(key, "");
+}
+
+bool Section::flag(const std::string& key, bool absent) {
+  const toml::node* node = find(key);
+  if (!node) return absent;
+  const auto value = node->value_exact<bool>();
+  if (!value) return complain(key, "must be true or false"), absent;
+  return *value;
+}
+
+int Section::one_of(const std::string& key, const std::vector<std::string>& words, int absent) {
+  const toml::node* node = find(key);
+  if (!node) {
+    if (absent < 0) complain("", "'" + key + "' is missing");
+    return absent;
+  }
+  const auto value = node->value_exact<std::string>();
+  if (value) {
+    for (std::size_t i = 0; i < words.size(); ++i) {
+      if (words[i] == *value) return static_cast<int>(i);
+    }
+  }
+  std::string all;
+  for (const std::string& w : words) all += (all.empty() ? "" : ", ") + w;
+  const std::string near = value ? nearest(*value, words) : "";
+  complain(key, "must be one of " + all + (near.empty() ? "" : "; did you mean " + near + "?"));
+  return absent;
+}
+
+std::vector<double> Section::numbers(const std::string& key, double least, double most) {
+  std::vector<double> out;
+  const toml::node* node = find(key);
+  if (!node) return out;
+  const auto* array = node->as_array();
+  if (!array) return complain(key, "must be a list of numbers"), out;
+  for (const auto& item : *array) {
+    const auto value = item.value<double>();
+    if (!value || *value < least || *value > most) {
+      complain(key, "each must be a number from " + shown(least) + " to " + shown(most));
+      return out;
+    }
+    out.push_back(*value);
+  }
+  return out;
+}
+
+Section Section::section(const std::string& key) {
+  static const toml::table kEmpty;
+  const toml::node* node = find(key);
+  const toml::table* table = node ? node->as_table() : nullptr;
+  if (node && !table) complain(key, "must be a table, [" + field(key) + "]");
+  return {table ? *table : kEmpty, field(key), file_, *problems_};
+}
+
+std::vector<Section> Section::list(const std::string& key) {
+  std::vector<Section> out;
+  const toml::node* node = find(key);
+  if (!node) return out;
+  const auto* array = node->as_array();
+  if (!array) return complain(key, "must be tables, [[" + field(key) + "]]"), out;
+  for (std::size_t i = 0; i < array->size(); ++i) {
+    const auto* table = (*array)[i].as_table();
+    if (!table) return complain(key, "must be tables, [[" + field(key) + "]]"), out;
+    out.emplace_back(*table, field(key) + "[" + std::to_string(i) + "]", file_, *problems_);
+  }
+  return out;
+}
+
+void Section::finish() const {
+  const std::vector<std::string> words(known_.begin(), known_.end());
+  for (const auto& [key, node] : *table_) {
+    const std::string name(key.str());
+    if (known_.contains(name)) continue;
+    const std::string near = nearest(name, words);
+    problems_->push_back({file_, key.source().begin.line, key.source().begin.column, field(name),
+                          "unknown" + (near.empty() ? std::string() : "; did you mean " + near + "?")});
+  }
+}
+
+toml::table load(const std::string& path, Problems& problems) {
+  try {
+    return toml::parse_file(path);
+  } catch (const toml::parse_error& error) {
+    problems.push_back({path, error.source().begin.line, error.source().begin.column, "",
+                        std::string(error.description())});
+    return {};
+  }
+}
+
+}  // namespace heronworks::config
--- /dev/null
+++ b/src/gateway/node_link.cpp
@@ -0,0 +1,131 @@
+// The connection to one node: see node_link.h.
+#include "gateway/node_link.h"
+
+#include <algorithm>
+
+namespace heronworks::gateway {
+namespace {
+
+constexpr double kDrainStuck = 0.1;  // s after which bytes still here at a draining node close the connection
+
+Outcome outcome_of(const nvme::Completion& c) {
+  if (!c.arrived) return c.written ? Outcome::kReset : Outcome::kNoConnection;
+  const nvme::Status s = c.status();
+  if (s.ok()) return Outcome::kHonoured;
+  if (s == nvme::status::kCommandInterrupted) return Outcome::kFull;  // a node's word that it never ran
+  if (s == nvme::status::kAbortRequested) return Outcome::kTimedOut;  // its time was up before it began
+  return Outcome::kError;
+}
+
+}  // namespace
+
+NodeLink::NodeLink(Loop& loop, int node, Options options, NodeLinkOwner& owner)
+    : loop_(loop), node_(node), options_(std::move(options)), owner_(owner), used_at_(loop.now()) {
+  idle_ = loop_.at(loop_.now() + options_.idle_close, [this] { check_idle(); });
+}
+
+NodeLink::~NodeLink() {
+  loop_.cancel(idle_);
+  for (auto& [token, entry] : sent_) loop_.cancel(entry.timer);
+}
+
+void NodeLink::open() {
+  if (!host_) host_ = std::make_unique<nvme::Host>(loop_, options_.host, *this);
+}
+
+void NodeLink::send(Dispatch dispatch) {
+  used_at_ = loop_.now();
+  draining_ = false;
+  const auto token = ++last_token_;
+  const double until = dispatch.until;
+  Entry& entry = sent_[token];
+  entry.dispatch = std::move(dispatch);
+  entry.timer = loop_.at(until, [this, token] { timed_out(token); });
+  if (waiting_.size() >= options_.most_waiting) {
+    // Told later: the module is in the middle of its decision.
+    loop_.cancel(entry.timer);
+    entry.timer = loop_.at(loop_.now(), [this, token] {
+      if (auto node = sent_.extract(token)) finish(std::move(node.mapped()), Outcome::kNoConnection, {});
+    });
+    return;
+  }
+  waiting_.push_back(token);
+  open();
+  pump();
+}
+
+void NodeLink::pump() {
+  while (host_ && host_->ready() && host_->has_room() && host_->unsent() == 0 && !waiting_.empty()) {
+    const auto token = waiting_.front();
+    waiting_.pop_front();
+    const auto found = sent_.find(token);
+    if (found == sent_.end()) continue;
+    Dispatch& d = found->second.dispatch;
+    d.sqe.set_time_left(std::max(d.until - loop_.now(), 1e-6));
+    host_->submit(token, d.sqe, std::move(d.out), d.in);
+  }
+}
+
+void NodeLink::ready() {
+  owner_.link_changed(node_, "node.connected", "");
+  pump();
+}
+
+void NodeLink::completed(std::uint64_t token, nvme::Completion&& completion) {
+  if (auto node = sent_.extract(token)) {
+    finish(std::move(node.mapped()), outcome_of(completion), std::move(completion));
+  }
+  pump();
+}
+
+void NodeLink::finish(Entry entry, Outcome outcome, nvme::Completion&& completion) {
+  loop_.cancel(entry.timer);
+  owner_.ended(node_, entry.dispatch, outcome, std::move(completion));
+}
+
+// Out of time. What was never written is known never to have run.
+void NodeLink::timed_out(std::uint64_t token) {
+  const auto at = std::find(waiting_.begin(), waiting_.end(), token);
+  const bool written = at == waiting_.end();
+  if (!written) waiting_.erase(at);
+  auto node = sent_.extract(token);
+  if (node) finish(std::move(node.mapped()), written ? Outcome::kTimedOut : Outcome::kNoConnection, {});
+}
+
+void NodeLink::end_waiting(Outcome outcome) {
+  std::deque<std::uint64_t> tokens;
+  tokens.swap(waiting_);
+  for (const auto token : tokens) {
+    if (auto node = sent_.extract(token)) finish(std::move(node.mapped()), outcome, {});
+  }
+}
+
+void NodeLink::down(const std::string& reason) {
+  owner_.link_changed(node_, "node.lost", reason);
+  host_.reset();
+  end_waiting(Outcome::kNoConnection);
+}
+
+void NodeLink::drain() {
+  draining_ = true;
+  end_waiting(Outcome::kNoConnection);
+  if (!host_ || host_->unsent() == 0) return;
+  loop_.at(loop_.now() + kDrainStuck, [this] {
+    if (draining_ && host_ && host_->unsent() > 0) host_->close("bytes stuck on the way to a draining node");
+  });
+}
+
+void NodeLink::restart(const std::string& reason) {
+  if (host_) host_->close(reason);
+}
+
+void NodeLink::check_idle() {
+  const double now = loop_.now();
+  if (host_ && sent_.empty() && host_->out() == 0 && (draining_ || now - used_at_ >= options_.idle_close)) {
+    host_.reset();
+    owner_.link_changed(node_, "node.closed", draining_ ? "drained" : "idle");
+  }
+  idle_ = loop_.at(now + options_.idle_close / 4, [this] { check_idle(); });
+}
+
+}  // namespace heronworks::gateway
--- /dev/null
+++ b/src/gateway/scheduler.cpp
@@ -0,0 +1,355 @@
+// One running scheduler: see scheduler.h.
+#include "gateway/scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <stdexcept>
+
+namespace heronworks::gateway {
+namespace {
+
+constexpr double kReportEvery = 1.0;  // s between two lines of counts in the log
+constexpr std::uint64_t kOwnLabel = std::uint64_t{1} << 63;  // set in labels that a scheduler gives itself
+
+nvme::TargetOptions target_options(const config::GatewayConfig& c) {
+  nvme::TargetOptions o;
+  o.subsystem = c.subsystem;
+  o.queue_size = static_cast<std::uint16_t>(c.queue_size);
+  o.most_connections = static_cast<std::size_t>(c.most_connections);
+  o.retry_delay = c.settings.max_wait / 16;
+  o.mark_arrivals = true;
+  // The largest transaction must fit: 4096 << mdts bytes.
+  const double largest = c.settings.largest_units * c.unit_blocks * c.block_bytes;
+  o.mdts = static_cast<std::uint8_t>(std::clamp(std::ceil(std::log2(largest / 4096)), 0.0, 12.0));
+  return o;
+}
+
+}  // namespace
+
+Scheduler::Scheduler(Loop& loop, const config::GatewayConfig& config, Log& log)
+    : loop_(loop), config_(config), log_(log), matcher_(config), wall_offset_(wall_offset()) {
+  Fd listener = listen_on(config.listen);
+  if (!listener) throw std::runtime_error("cannot listen on " + config.listen.text() + ": " + std::strerror(errno));
+  own_label_ = kOwnLabel | static_cast<std::uint64_t>(config.settings.index) << 46 |
+               (static_cast<std::uint64_t>((loop.now() + wall_offset_) * 1000) & 0x3fffffff) << 16;
+  nvme::HostOptions list;
+  list.address = config.list;
+  list.subsystem = config.list_subsystem;
+  list.host_name = config.host_name;
+  list.depth = 0;
+  list.keep_alive = config.keep_alive;
+  list.digests = {config.digests, config.digests};
+  list_ = std::make_unique<ListWatch>(loop, list, *this);
+  control_ = std::make_unique<Control>(config.settings, *this, now());
+  if (!config.saved_list.empty()) {
+    std::string reason;
+    if (const auto saved = load_saved_list(config.saved_list, reason)) {
+      log_.info(loop.now(), "list.saved", {{"nodes", saved->size()}});
+      control_->list_news(now(), Scope::kSaved, take_list(*saved));
+      connect_to_listed();
+    } else {
+      log_.warn(loop.now(), "list.not_loaded", {{"reason", reason}});
+    }
+  }
+  target_ = std::make_unique<nvme::Target>(loop, std::move(listener), target_options(config), *this);
+  report_ = loop_.at(loop_.now() + kReportEvery, [this] { report(); });
+}
+
+Scheduler::~Scheduler() {
+  loop_.cancel(wake_);
+  loop_.cancel(report_);
+}
+
+void Scheduler::drain(std::function<void()> done) {
+  drained_ = std::move(done);
+  target_->stop_accepting();
+  log_.info(loop_.now(), "drain.began", {{"open", open()}});
+  loop_.defer([this] { check_drained(); });
+}
+
+// All answered, and their bytes with the system.
+void Scheduler::check_drained() {
+  if (!drained_) return;
+  bool waiting = target_->unsent() > 0;
+  for (const Slot& s : slots_) waiting = waiting || (s.used && !s.answered);
+  if (waiting) {
+    loop_.at(loop_.now() + 0.01, [this] { check_drained(); });
+    return;
+  }
+  log_.info(loop_.now(), "drain.done", {{"open", open()}});
+  std::exchange(drained_, nullptr)();
+}
+
+// ---- From clients ----
+
+nvme::Status Scheduler::identify(std::uint8_t cns, std::uint8_t csi, std::uint32_t nsid, nvme::Bytes& page) {
+  const auto put = [&](std::size_t at, auto value) { std::memcpy(page.data() + at, &value, sizeof value); };
+  if (cns == 1) {
+    std::uint32_t last = 0;
+    for (const auto& v : config_.volumes) last = std::max(last, v.last);
+    put(516, last);  // NN
+    return nvme::status::kOk;
+  }
+  if (cns == 0 || (cns == 5 && csi == 2)) {
+    if (!matcher_.knows(nsid)) return nvme::status::kInvalidNamespace;
+    if (cns == 0) {
+      put(0, config_.volume_blocks());   // NSZE
+      put(8, config_.volume_blocks());   // NCAP
+      put(16, config_.volume_blocks());  // NUSE
+      page[130] = static_cast<std::uint8_t>(std::countr_zero(config_.block_bytes));  // LBAF0.LBADS
+    } else {
+      put(2816, std::uint64_t{config_.zone_blocks});  // LBAFE0.ZSZE
+    }
+    return nvme::status::kOk;
+  }
+  if (cns == 2) {  // active namespaces above nsid
+    std::vector<std::uint32_t> all;
+    for (const auto& v : config_.volumes) {
+      for (std::uint32_t n = std::max(v.first, nsid + 1); n <= v.last && all.size() < 4096; ++n) all.push_back(n);
+    }
+    std::sort(all.begin(), all.end());
+    std::memcpy(page.data(), all.data(), std::min<std::size_t>(all.size(), 1024) * 4);
+    return nvme::status::kOk;
+  }
+  return nvme::status::kInvalidField;
+}
+
+void Scheduler::log_page(nvme::ConnectionId connection, std::uint16_t cid, std::uint8_t, std::uint64_t,
+                         std::uint32_t) {
+  target_->complete(connection, cid, nvme::status::kInvalidLogPage);
+}
+
+void Scheduler::command(nvme::Command&& c) {
+  const auto end = [&](nvme::Status status, std::uint64_t& count) {
+    ++count;
+    target_->complete(c.connection, c.sqe.cid, status);
+  };
+  if (c.sqe.opcode == nvme::opcode::kFlush) {
+    // Nodes answer a write once it is kept (Identify Controller: no volatile write cache); Flush has no effect.
+    return end(matcher_.knows(c.sqe.nsid) ? nvme::status::kOk : nvme::status::kInvalidNamespace, counts_.refused);
+  }
+  nvme::Status refused;
+  const auto matched = matcher_.match(c.sqe, refused);
+  if (!matched) return end(refused, counts_.refused);
+  const bool reads = c.sqe.opcode == nvme::opcode::kRead;
+  if (c.sqe.sgl_length != c.sqe.blocks() * config_.block_bytes) return end(nvme::status::kInvalidField, counts_.refused);
+  nvme::Status busy = nvme::status::kCommandInterrupted;
+  busy.crd = 1;
+  if (drained_ || open() >= static_cast<std::size_t>(config_.most_open) ||
+      bytes_ + c.data.size() > config_.most_bytes)
+    return end(busy, counts_.at_door);
+
+  Transaction t = *matched;
+  // The client's time has been running since the command came to this machine, which may be long ago if this
+  // scheduler stood still; the answer needs some of it for the way back.
+  const double told = c.sqe.time_left();
+  const double whole = told > 0 ? told : config_.settings.profiles[static_cast<std::size_t>(t.profile)].cut_off;
+  t.time_left = whole - std::max(now() - c.at, 0.0) - config_.way_back;
+
+  int id = 0;
+  if (free_.empty()) {
+    id = static_cast<int>(slots_.size());
+    slots_.emplace_back();
+  } else {
+    id = free_.back();
+    free_.pop_back();
+  }
+  Slot& s = slots_[static_cast<std::size_t>(id)];
+  s = Slot{};
+  s.used = true;
+  s.connection = c.connection;
+  s.sqe = c.sqe;
+  s.profile = t.profile;
+  s.shard = t.shard;
+  if (s.sqe.label() == 0) s.sqe.set_label(++own_label_);
+  if (!reads) s.data = std::make_shared<const nvme::Bytes>(std::move(c.data));
+  bytes_ += s.data ? s.data->size() : 0;
+  by_client_[c.connection].insert(id);
+  ++counts_.landed;
+  control_->landed(now(), id, t);
+}
+
+void Scheduler::closed(nvme::ConnectionId connection) {
+  const auto found = by_client_.find(connection);
+  if (found == by_client_.end()) return;
+  const std::set<int> open = std::move(found->second);
+  by_client_.erase(found);
+  for (const int id : open) {
+    Slot& s = slots_[static_cast<std::size_t>(id)];
+    if (!s.used || s.answered) continue;
+    s.answered = true;
+    ++counts_.abandoned;
+    control_->abandoned(now(), id);
+  }
+}
+
+void Scheduler::answer(Slot& s, nvme::Status status, std::uint64_t result, nvme::View data) {
+  if (s.answered) return;
+  s.answered = true;
+  target_->complete(s.connection, s.sqe.cid, status, result, data);
+  const auto found = by_client_.find(s.connection);
+  if (found != by_client_.end()) {
+    found->second.erase(static_cast<int>(&s - slots_.data()));
+    if (found->second.empty()) by_client_.erase(found);
+  }
+}
+
+// ---- From the module ----
+
+void Scheduler::dispatch(int transaction, int node, double try_for) {
+  Slot& s = slots_[static_cast<std::size_t>(transaction)];
+  NodeEntry& n = nodes_[static_cast<std::size_t>(node)];
+  ++counts_.dispatched;
+  Dispatch d;
+  d.transaction = transaction;
+  d.number = s.dispatches++;
+  d.sent_at = now();
+  const auto& profile = config_.settings.profiles[static_cast<std::size_t>(s.profile)];
+  d.until = now() + (try_for > 0 ? try_for : profile.cut_off);
+  d.sqe = s.sqe;
+  d.sqe.set_origin(s.sqe.client_try(), d.number, config_.settings.index);
+  if (s.shard < 0) {  // a new object: the first zone of the node's shard; the node finds room from there on
+    d.sqe.set_slba(static_cast<std::uint64_t>(n.listed.shard) * config_.zone_blocks);
+  }
+  d.out = s.data;
+  d.in = s.data ? 0 : s.sqe.blocks() * config_.block_bytes;
+  n.link->send(std::move(d));
+}
+
+void Scheduler::turn_back(int transaction, double wait) {
+  ++counts_.turned_back;
+  nvme::Status status = nvme::status::kCommandInterrupted;
+  if (wait > 0) {  // the shortest of the three delays that is no shorter than the wait
+    const double unit = std::max(1.0, std::ceil(config_.settings.max_wait / 16 * 10)) / 10;
+    status.crd = wait <= unit ? 1 : wait <= 4 * unit ? 2 : 3;
+  }
+  answer(slots_[static_cast<std::size_t>(transaction)], status);
+}
+
+void Scheduler::give_up(int transaction) {
+  ++counts_.given_up;
+  answer(slots_[static_cast<std::size_t>(transaction)], nvme::status::kInternalPath);
+}
+
+void Scheduler::forget(int transaction) {
+  Slot& s = slots_[static_cast<std::size_t>(transaction)];
+  bytes_ -= s.data ? s.data->size() : 0;
+  s.data.reset();
+  s.used = false;
+  free_.push_back(transaction);
+}
+
+void Scheduler::watch_list() { list_->watch(); }
+
+void Scheduler::wake_at(double time) {
+  loop_.cancel(wake_);
+  wake_ = loop_.at(time, [this] { control_->woken(now()); });
+}
+
+// ---- From nodes and the list ----
+
+void Scheduler::ended(int node, const Dispatch& d, Outcome outcome, nvme::Completion&& completion) {
+  Slot& s = slots_[static_cast<std::size_t>(d.transaction)];
+  Reply r;
+  r.dispatch = d.number;
+  r.node = node;
+  r.elapsed = std::max(now() - d.sent_at, 0.0);
+  r.outcome = outcome;
+  if (completion.arrived && s.sqe.opcode != nvme::opcode::kZoneAppend) {
+    r.by_others = completion.cqe.dw0;
+    const auto use = completion.cqe.dw1 & 0xffff;
+    if (use > 0) r.volume_use = (static_cast<double>(use) - 1) / 100;
+  }
+  if (outcome == Outcome::kHonoured && !s.answered) {
+    ++counts_.honoured;
+    answer(s, nvme::status::kOk, s.sqe.opcode == nvme::opcode::kZoneAppend ? completion.cqe.result() : 0,
+           completion.data);
+  }
+  r.finished = s.answered;
+  control_->replied(now(), d.transaction, r);
+}
+
+void Scheduler::link_changed(int node, const char* event, const std::string& reason) {
+  nlohmann::json fields{{"node", nodes_[static_cast<std::size_t>(node)].address.text()}};
+  if (!reason.empty()) fields["reason"] = reason;
+  log_.info(loop_.now(), event, std::move(fields));
+}
+
+// Addresses become small numbers; links to what drains, is gone or is another process by now are wound up.
+std::vector<Entry> Scheduler::take_list(const std::vector<ListedNode>& nodes) {
+  std::vector<Entry> entries;
+  std::set<int> named;
+  for (const ListedNode& l : nodes) {
+    const auto [at, fresh] = node_numbers_.emplace(l.address.text(), static_cast<int>(nodes_.size()));
+    const int number = at->second;
+    if (fresh) {
+      NodeLink::Options o;
+      o.host.address = l.address;
+      o.host.subsystem = config_.node_subsystem;
+      o.host.host_name = config_.host_name;
+      o.host.depth = static_cast<std::uint16_t>(config_.node_depth);
+      o.host.digests = {config_.digests, config_.digests};
+      o.host.connect_timeout = config_.connect_timeout;
+      o.host.keep_alive = config_.keep_alive;
+      o.idle_close = config_.idle_close;
+      nodes_.push_back({l.address, std::make_unique<NodeLink>(loop_, number, o, *this), {}});
+    }
+    Entry e;
+    e.node = number;
+    e.zone = l.zone;
+    e.shard = l.shard;
+    e.listing = l.listing;
+    e.came_up = l.came_up == 0 ? 0 : std::max(1e-9 * static_cast<double>(l.came_up) - wall_offset_, 1e-6);
+    NodeEntry& n = nodes_[static_cast<std::size_t>(number)];
+    if (!fresh && e.came_up > n.listed.came_up) n.link->restart("another process is at this address now");
+    n.listed = e;
+    entries.push_back(e);
+    named.insert(number);
+  }
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (!named.contains(static_cast<int>(i))) nodes_[i].listed.listing = Listing::kGone;
+  }
+  return entries;
+}
+
+void Scheduler::connect_to_listed() {
+  for (NodeEntry& n : nodes_) {
+    if (n.listed.listing == Listing::kReady) n.link->open();
+  }
+}
+
+void Scheduler::list_came(std::vector<ListedNode> nodes) {
+  const auto entries = take_list(nodes);
+  log_.info(loop_.now(), "list.came", {{"nodes", entries.size()}});
+  control_->list_news(now(), Scope::kWhole, entries);
+  for (NodeEntry& n : nodes_) {
+    if (n.listed.listing != Listing::kReady) n.link->drain();
+  }
+  connect_to_listed();
+  if (!config_.saved_list.empty() && !save_list(config_.saved_list, nodes)) {
+    log_.error(loop_.now(), "list.not_saved", {{"path", config_.saved_list}});
+  }
+}
+
+void Scheduler::list_failed(const std::string& reason) {
+  log_.warn(loop_.now(), "list.failed", {{"reason", reason}});
+  control_->list_news(now(), Scope::kFailed, {});
+}
+
+void Scheduler::report() {
+  const auto since = [&](auto field) { return counts_.*field - reported_.*field; };
+  log_.info(loop_.now(), "second",
+            {{"landed", since(&Counts::landed)},
+             {"honoured", since(&Counts::honoured)},
+             {"turned_back", since(&Counts::turned_back)},
+             {"given_up", since(&Counts::given_up)},
+             {"abandoned", since(&Counts::abandoned)},
+             {"dispatched", since(&Counts::dispatched)},
+             {"at_door", since(&Counts::at_door)},
+             {"open", open()},
+             {"clients", target_->connections()}});
+  reported_ = counts_;
+  report_ = loop_.at(loop_.now() + kReportEvery, [this] { report(); });
+}
+
+}  // namespace heronworks::gateway
--- /dev/null
+++ b/src/gateway/scheduler.h
@@ -0,0 +1,111 @@
+// One running scheduler: sockets on one side, the decision module on the other. What happens becomes calls on
+// Control, what it decides becomes commands and answers. Nothing is decided here.
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "config/gateway_config.h"
+#include "control.h"
+#include "gateway/list_watch.h"
+#include "gateway/log.h"
+#include "gateway/match.h"
+#include "gateway/node_link.h"
+#include "nvme/target.h"
+
+namespace heronworks::gateway {
+
+// Since the start.
+struct Counts {
+  std::uint64_t landed = 0;
+  std::uint64_t honoured = 0;
+  std::uint64_t turned_back = 0;
+  std::uint64_t given_up = 0;
+  std::uint64_t abandoned = 0;
+  std::uint64_t dispatched = 0;
+  std::uint64_t at_door = 0;  // turned back before the module saw them: draining, or a bound was reached
+  std::uint64_t refused = 0;  // with an error status: not a command that a volume takes
+};
+
+class Scheduler final : public heronworks::Host, public nvme::Backend, public NodeLinkOwner, public ListOwner {
+ public:
+  // Throws std::runtime_error if it cannot listen.
+  Scheduler(Loop& loop, const config::GatewayConfig& config, Log& log);
+  ~Scheduler() override;
+
+  Address address() const { return target_->address(); }
+  const Counts& counts() const { return counts_; }
+  std::size_t open() const { return slots_.size() - free_.size(); }
+
+  // Takes nothing new, ends what it took, then calls `done`.
+  void drain(std::function<void()> done);
+
+  // From the module.
+  void dispatch(int transaction, int node, double try_for) override;
+  void turn_back(int transaction, double wait) override;
+  void give_up(int transaction) override;
+  void forget(int transaction) override;
+  void watch_list() override;
+  void wake_at(double time) override;
+
+  // From clients.
+  nvme::Status identify(std::uint8_t cns, std::uint8_t csi, std::uint32_t nsid, nvme::Bytes& page) override;
+  void command(nvme::Command&& command) override;
+  void log_page(nvme::ConnectionId connection, std::uint16_t cid, std::uint8_t page, std::uint64_t offset,
+                std::uint32_t length) override;
+  void closed(nvme::ConnectionId connection) override;
+
+ private:
+  // A transaction from landing until the module forgets it.
+  struct Slot {
+    bool used = false;
+    bool answered = false;
+    nvme::ConnectionId connection = 0;
+    nvme::Sqe sqe;
+    nvme::SharedBytes data;
+    int profile = 0;
+    int shard = -1;
+    int dispatches = 0;
+  };
+  struct NodeEntry {
+    Address address;
+    std::unique_ptr<NodeLink> link;
+    Entry listed;
+  };
+
+  // From nodes and the list.
+  void ended(int node, const Dispatch& dispatch, Outcome outcome, nvme::Completion&& completion) override;
+  void link_changed(int node, const char* event, const std::string& reason) override;
+  void list_came(std::vector<ListedNode> nodes) override;
+  void list_failed(const std::string& reason) override;
+
+  double now() const { return loop_.turn_time(); }
+  std::vector<Entry> take_list(const std::vector<ListedNode>& nodes);
+  void connect_to_listed();
+  void answer(Slot& slot, nvme::Status status, std::uint64_t result = 0, nvme::View data = {});
+  void check_drained();
+  void report();
+
+  Loop& loop_;
+  const config::GatewayConfig& config_;
+  Log& log_;
+  const Matcher matcher_;
+  const double wall_offset_;  // fixed at the start, so that a process keeps the time at which it came up
+  std::unique_ptr<nvme::Target> target_;
+  std::unique_ptr<ListWatch> list_;
+  std::unique_ptr<Control> control_;
+  std::vector<Slot> slots_;           // by transaction; as many as were ever open at once
+  std::vector<int> free_;
+  std::unordered_map<nvme::ConnectionId, std::set<int>> by_client_;  // open ones; emptied with them
+  std::size_t bytes_ = 0;             // of writes held
+  std::vector<NodeEntry> nodes_;      // as many as were listed since the start
+  std::map<std::string, int> node_numbers_;
+  Loop::Timer wake_ = 0;
+  Loop::Timer report_ = 0;
+  Counts counts_;
+  Counts reported_;
+  std::function<void()> drained_;
+  std::uint64_t own_label_ = 0;
+};
+
+}  // namespace heronworks::gateway
--- /dev/null
+++ b/src/loop/loop.h
@@ -0,0 +1,91 @@
+// One thread, poll(2), timers from a heap, signals through a pipe. Everything else hangs from it by small
+// interfaces and never blocks.
+#pragma once
+
+#include <poll.h>
+
+#include <cstdint>
+#include <functional>
+#include <unordered_map>
+#include <vector>
+
+#include "loop/clock.h"
+#include "loop/fd.h"
+
+namespace heronworks {
+
+// What a descriptor's owner is told. `writable` comes only while it was asked for.
+class Pollable {
+ public:
+  virtual ~Pollable() = default;
+  virtual void readable() = 0;
+  virtual void writable() = 0;
+  virtual void broken() = 0;  // error or hang-up, once nothing is left to read
+};
+
+class Loop {
+ public:
+  using Action = std::function<void()>;
+  using Timer = std::uint64_t;  // 0 is none
+
+  explicit Loop(const Clock& clock);
+
+  double now() const { return clock_.now(); }
+  // When this turn found what there is to do: one time for all that came together.
+  double turn_time() const { return turn_time_; }
+
+  // The owner must call `unwatch` before the descriptor closes. Safe inside callbacks.
+  void watch(int fd, Pollable& owner);
+  void interest(int fd, bool read, bool write);
+  void unwatch(int fd);
+
+  // Runs once, at the first turn at or after `time`. A cancelled timer never runs; cancelling an old one
+  // does nothing. Timers of one time run in the order in which they were set.
+  Timer at(double time, Action action);
+  void cancel(Timer timer) { timers_.erase(timer); }
+
+  // Runs later in this turn, after the callback that asked; in the order of asking.
+  void defer(Action action) { deferred_.push_back(std::move(action)); }
+
+  // `action` runs in the loop after the signal came.
+  void on_signal(int signal, Action action);
+
+  void run();
+  void stop() { stopped_ = true; }
+  // One turn: waits up to `most` seconds for the first event or timer.
+  void turn(double most);
+
+  std::size_t timers() const { return timers_.size(); }
+
+ private:
+  struct Due {
+    double time;
+    Timer id;
+    bool operator>(const Due& o) const { return time != o.time ? time > o.time : id > o.id; }
+  };
+  struct Slot {
+    std::size_t index;
+    Pollable* owner;
+    std::uint64_t birth;
+  };
+
+  void run_deferred();
+  void run_timers();
+  void drop_stale_timers();
+
+  const Clock& clock_;
+  std::vector<pollfd> polled_;               // as many as are watched
+  std::unordered_map<int, Slot> slots_;      // by descriptor; emptied by unwatch
+  std::uint64_t births_ = 0;
+  std::vector<Due> heap_;                    // may hold cancelled ones; rebuilt when they are the most
+  std::unordered_map<Timer, Action> timers_; // emptied as they run or are cancelled
+  Timer last_timer_ = 0;
+  std::vector<Action> deferred_;             // emptied each turn
+  std::unordered_map<int, Action> signals_;
+  Fd signal_read_;
+  Fd signal_write_;
+  double turn_time_ = 0;
+  bool stopped_ = false;
+};
+
+}  // namespace heronworks
