--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kReportEvery = 1.0;  // s between two lines of counts in the log
+constexpr double kBeat = 0.02;        // s between two looks at the sockets, at most
 constexpr std::uint64_t kOwnLabel = std::uint64_t{1} << 63;  // set in labels that a scheduler gives itself
 
 nvme::TargetOptions target_options(const config::GatewayConfig& c) {
@@ -17,7 +18,7 @@
   o.queue_size = static_cast<std::uint16_t>(c.queue_size);
   o.most_connections = static_cast<std::size_t>(c.most_connections);
   o.retry_delay = c.settings.max_wait / 16;
-  o.mark_arrivals = true;
+  o.arrival = nvme::Arrival::kEarliest;
   // The largest transaction must fit: 4096 << mdts bytes.
   const double largest = c.settings.largest_units * c.unit_blocks * c.block_bytes;
   o.mdts = static_cast<std::uint8_t>(std::clamp(std::ceil(std::log2(largest / 4096)), 0.0, 12.0));
@@ -53,11 +54,18 @@
   }
   target_ = std::make_unique<nvme::Target>(loop, std::move(listener), target_options(config), *this);
   report_ = loop_.at(loop_.now() + kReportEvery, [this] { report(); });
+  beat();
+}
+
+// The loop looks at its sockets at least this often, so that it knows when it stood still.
+void Scheduler::beat() {
+  beat_ = loop_.at(loop_.now() + kBeat, [this] { beat(); });
 }
 
 Scheduler::~Scheduler() {
   loop_.cancel(wake_);
   loop_.cancel(report_);
+  loop_.cancel(beat_);
 }
 
 void Scheduler::drain(std::function<void()> done) {
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -85,6 +85,7 @@
   void answer(Slot& slot, nvme::Status status, std::uint64_t result = 0, nvme::View data = {});
   void check_drained();
   void report();
+  void beat();
 
   Loop& loop_;
   const config::GatewayConfig& config_;
@@ -102,6 +103,7 @@
   std::map<std::string, int> node_numbers_;
   Loop::Timer wake_ = 0;
   Loop::Timer report_ = 0;
+  Loop::Timer beat_ = 0;
   Counts counts_;
   Counts reported_;
   std::function<void()> drained_;
--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -38,7 +38,7 @@
   nvme::TargetOptions o;
   o.subsystem = kNodeSubsystem;
   o.mdts = 8;
-  o.mark_arrivals = true;
+  o.arrival = nvme::Arrival::kMarked;
   target_ = std::make_unique<nvme::Target>(loop, std::move(fd), o, *this);
   const auto lives = lives_of(day, options.number);
   came_up_ = options.start + std::max(lives[static_cast<std::size_t>(options.life)].from, -3600.0);
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -33,6 +33,11 @@
   double now() const { return clock_.now(); }
   // When this turn found what there is to do: one time for all that came together.
   double turn_time() const { return turn_time_; }
+  // The earliest time at which what is read in this turn can have come: this turn, unless the loop had not
+  // looked for longer than a stall; then its last look. The kernel's marks do not tell, as it joins what came
+  // in a row under the newest mark. Sure only while some timer wakes the loop more often than that.
+  double earliest_arrival() const { return turn_time_ - last_look_ > kStall ? last_look_ : turn_time_; }
+  static constexpr double kStall = 0.05;  // s
 
   // The owner must call `unwatch` before the descriptor closes. Safe inside callbacks.
   void watch(int fd, Pollable& owner);
@@ -85,6 +90,8 @@
   Fd signal_read_;
   Fd signal_write_;
   double turn_time_ = 0;
+  double last_look_ = 0;  // when the turn before this one looked
+  double looked_at_ = 0;
   bool stopped_ = false;
 };
 
--- a/src/nvme/target.cpp
+++ b/src/nvme/target.cpp
@@ -23,7 +23,7 @@
         id_(id),
         framing_(End::kController, kMostData + target.options_.in_capsule + 1024),
         stream_(target.loop_, std::move(fd), *this) {
-    if (target.options_.mark_arrivals) stream_.mark_arrivals();
+    if (target.options_.arrival == Arrival::kMarked) stream_.mark_arrivals();
     watchdog_ = target.loop_.at(target.loop_.now() + target.options_.bring_up_time, [this] { watch(); });
   }
   ~TargetConnection() override { target_.loop_.cancel(watchdog_); }
@@ -121,6 +121,14 @@
     bool broken = false;
   };
 
+  double arrival() const {
+    switch (target_.options_.arrival) {
+      case Arrival::kMarked: return stream_.arrived_at();
+      case Arrival::kEarliest: return target_.loop_.earliest_arrival();
+      default: return target_.loop_.now();
+    }
+  }
+
   bool must_wait() const {
     return out_.size() - events_.size() >= (admin_ || !admitted_ ? kAdminSize : size_) ||
            stream_.unsent() > kMostUnsent;
@@ -194,7 +202,7 @@
     }
     Out& o = out_[c.cid];
     o.sqe = c;
-    o.at = target_.options_.mark_arrivals ? stream_.arrived_at() : target_.loop_.now();
+    o.at = arrival();
     const bool io = admitted_ && !admin_ && c.opcode != opcode::kFabrics;
     const bool sends = io ? c.opcode == opcode::kWrite || c.opcode == opcode::kZoneAppend
                           : c.opcode == opcode::kFabrics && c.fabrics_type() == fabrics::kConnect;
--- a/src/nvme/target.h
+++ b/src/nvme/target.h
@@ -19,9 +19,12 @@
   ConnectionId connection = 0;
   Sqe sqe;
   Bytes data;     // of a write
-  double at = 0;  // see Stream::arrived_at; else the time of reading
+  double at = 0;  // as TargetOptions::arrival says
 };
 
+// Which time a command gets: of reading, the kernel's newest mark on its bytes, or the earliest that it can be.
+enum class Arrival { kRead, kMarked, kEarliest };
+
 struct TargetOptions {
   std::string subsystem;
   std::uint16_t queue_size = 128;   // commands of one I/O queue
@@ -29,7 +32,7 @@
   std::uint32_t in_capsule = 8192;  // bytes of data in a capsule
   std::size_t most_connections = 1024;
   double retry_delay = 0.1;         // s that CRD 1 means, rounded up to 0.1; CRD 2 and 3 mean 4 and 16 times it
-  bool mark_arrivals = false;
+  Arrival arrival = Arrival::kRead;
   double bring_up_time = 5;         // s in which a connection must be up
 };
 
