--- a/src/config/gateway_config.cpp
+++ b/src/config/gateway_config.cpp
@@ -197,7 +197,7 @@
   for (std::size_t i = 0; i < settings.plans.size(); ++i) {
     const Plan& p = settings.plans[i];
     for (const Volumes& v : c.volumes) {
-      if (v.plan != static_cast<int>(i) || p.limit <= 0 || p.burst / v.hosts >= settings.largest_units) continue;
+      if (v.plan != static_cast<int>(i) || p.limit <= 0 || p.burst <= 0 || p.burst / v.hosts >= settings.largest_units) continue;
       root.complain("plan", "plan '" + c.plan_names[i] + "': a burst of " + std::to_string(p.burst) + " over " +
                                 std::to_string(v.hosts) + " hosts holds no transaction of " +
                                 std::to_string(settings.largest_units) + " units");
--- /dev/null
+++ b/tests/gateway/config_test.cpp
@@ -0,0 +1,84 @@
+// Configurations: each fault with its line, column and field; nothing half done.
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <fstream>
+
+#include "config/gateway_config.h"
+#include "rig.h"
+
+using namespace heronworks;
+
+namespace {
+
+const char* kGood = R"([scheduler]
+listen = "127.0.0.1:0"
+[list]
+address = "127.0.0.1:1"
+[space]
+zone_blocks = 64
+zones = 8
+shards = 2
+[[profile]]
+name = "read"
+contract = 0.5
+cut_off = 2
+repeat = "redoable"
+[[plan]]
+name = "base"
+usual = 10
+[[match]]
+profile = "read"
+[[volumes]]
+first = 1
+last = 9
+plan = "base"
+)";
+
+std::vector<std::string> problems_of(const std::string& text) {
+  const std::string path = test::scratch("check.toml");
+  std::ofstream(path) << text;
+  config::Problems problems;
+  const auto c = config::read_gateway(path, problems);
+  std::vector<std::string> out;
+  for (const auto& p : problems) out.push_back(p.shown().substr(path.size()));
+  CHECK(c.has_value() == out.empty());
+  return out;
+}
+
+std::string with(const std::string& from, const std::string& to) {
+  std::string text = kGood;
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+}  // namespace
+
+TEST_CASE("a good configuration has no problems") { CHECK(problems_of(kGood).empty()); }
+
+TEST_CASE("each fault names line, column and field") {
+  const auto one = [](const std::string& text) {
+    const auto p = problems_of(text);
+    REQUIRE(p.size() == 1);
+    return p[0];
+  };
+  CHECK(one(with("cut_off = 2", "cut_off = 0.2")) == ":12:11: profile[0].cut_off: must not be under the contract time");
+  CHECK(one(with("\"redoable\"", "\"redoabel\"")) ==
+        ":13:10: profile[0].repeat: must be one of redoable, labelled, irreversible; did you mean redoable?");
+  CHECK(one(with("zones = 8", "zones = \"8\"")) == ":7:9: space.zones: must be a whole number");
+  CHECK(one(with("usual = 10", "usual = -1")) == ":16:9: plan[0].usual: must be from 1e-06 to 1e+09, is -1");
+  CHECK(one(with("plan = \"base\"", "plan = \"bass\"")) == ":22:8: volumes[0].plan: must be one of base; did you mean base?");
+  CHECK(one(with("127.0.0.1:1\"", "localhost:1\"")) ==
+        ":4:11: list.address: must be a numeric address and port, such as 127.0.0.1:4420");
+  CHECK(one(std::string(kGood) + "[[volumes]]\nfirst = 9\nplan = \"base\"\n").find("overlap with 1 to 9") != std::string::npos);
+  CHECK(one(with("usual = 10", "usual = 10\nlimit = 20")).find("needs 'burst'") != std::string::npos);
+  CHECK(one(with("shards = 2", "shards = 2\nshard = 3")) == ":9:1: space.shard: unknown; did you mean shards?");
+  CHECK(one("[scheduler\n").find(":1:") == 0);
+}
+
+TEST_CASE("all faults of a file come in one go") {
+  std::string text = with("cut_off = 2", "cut_off = 0.2");
+  text.replace(text.find("zones = 8"), 9, "zones = 0");
+  text.replace(text.find("first = 1"), 9, "firts = 1");
+  CHECK(problems_of(text).size() == 4);  // the last is missing under its name and unknown under the other
+}
--- /dev/null
+++ b/tests/gateway/gateway_test.cpp
@@ -0,0 +1,355 @@
+// The running scheduler on loopback sockets, with nodes that fail in every way the rules are about.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <fstream>
+
+#include "rig.h"
+
+using namespace heronworks;
+using namespace heronworks::test;
+namespace st = heronworks::nvme::status;
+
+TEST_CASE("reads, writes and appends go through and come back, with digests and without") {
+  for (const nvme::Digests d : {nvme::Digests{false, false}, nvme::Digests{true, true}}) {
+    Rig r;
+    r.config.digests = d.header;
+    r.start();
+    auto& c = r.client(128, d);
+    c.read(1, 5);
+    c.write(2, 64, 16);  // more than a capsule holds: asked for by R2T
+    c.append(3, 2);
+    REQUIRE(r.until([&] { return c.answers.size() == 3; }));
+    CHECK(c.count(st::kOk) == 3);
+    CHECK(c.answers[1].data == nvme::Bytes(4096, 0x77));
+    CHECK(r.nodes[0]->came.at(0).sqe.slba() == 5);
+    const auto& w = r.nodes[1]->came.at(0).sqe.opcode == nvme::opcode::kWrite ? r.nodes[1]->came[0] : r.nodes[1]->came.at(1);
+    CHECK(w.sqe.slba() == 64);
+    CHECK(w.data == nvme::Bytes(16 * 4096, 2));
+    CHECK(w.sqe.label() == 1002);
+    CHECK(w.sqe.time_left() > 0.1);
+  }
+}
+
+TEST_CASE("what is no command of a volume gets the specification's status and has no effect") {
+  Rig r;
+  r.start();
+  auto& c = r.client();
+  nvme::Sqe q;
+  const auto send = [&](std::uint64_t token, std::uint8_t op, std::uint32_t nsid, std::uint64_t lba,
+                        std::uint32_t blocks, std::uint32_t bytes) {
+    q.opcode = op;
+    q.nsid = nsid;
+    q.set_slba(lba);
+    q.set_blocks(blocks);
+    c.host->submit(token, q, nullptr, bytes);
+  };
+  send(1, nvme::opcode::kRead, 2, 0, 1, 4096);      // no such volume
+  send(2, nvme::opcode::kRead, 1, 512, 1, 4096);    // beyond its end
+  send(3, nvme::opcode::kRead, 1, 63, 2, 8192);     // over the border of a zone
+  send(4, nvme::opcode::kRead, 1, 0, 1, 512);       // a buffer that does not fit
+  send(5, 0x09, 1, 0, 1, 0);                        // Dataset Management
+  send(6, nvme::opcode::kFlush, 1, 0, 1, 0);
+  send(7, nvme::opcode::kRead, 1, ~std::uint64_t{0}, 1, 4096);
+  REQUIRE(r.until([&] { return c.answers.size() == 7; }));
+  CHECK(c.status(1) == st::kInvalidNamespace);
+  CHECK(c.status(2) == st::kLbaOutOfRange);
+  CHECK(c.status(3) == st::kInvalidField);
+  CHECK(c.status(4) == st::kInvalidField);
+  CHECK(c.status(5) == st::kInvalidOpcode);
+  CHECK(c.status(6) == st::kOk);
+  CHECK(c.status(7) == st::kLbaOutOfRange);
+  CHECK(r.nodes[0]->came.empty());
+  CHECK(r.nodes[1]->came.empty());
+}
+
+TEST_CASE("a connection lost with 30 commands on it: reads go again, appends are given up, writes go again") {
+  Rig r;
+  r.start();
+  auto& c = r.client();
+  r.nodes[0]->answers.reset();
+  r.nodes[1]->answers.reset();
+  for (std::uint64_t i = 0; i < 10; ++i) c.read(i, i);
+  for (std::uint64_t i = 10; i < 20; ++i) c.write(i, i);  // one key a block
+  for (std::uint64_t i = 20; i < 30; ++i) c.append(i);
+  const auto came = [&] { return r.nodes[0]->came.size() + r.nodes[1]->came.size(); };
+  // The bound lets four out at an unheard node.
+  REQUIRE(r.until([&] { return came() >= 8; }));
+  std::map<std::uint64_t, int> first;
+  std::set<std::uint64_t> appends;
+  for (auto& n : r.nodes) {
+    for (const auto& k : n->came) {
+      ++first[k.sqe.label()];
+      if (k.sqe.opcode == nvme::opcode::kZoneAppend) appends.insert(k.sqe.label());
+    }
+    n->came.clear();
+    n->answers = st::kOk;
+    n->target->reset_all();
+  }
+  REQUIRE(r.until([&] { return c.answers.size() == 30; }));
+  CHECK_FALSE(c.twice);
+  std::map<std::uint64_t, int> again;
+  for (auto& n : r.nodes) {
+    for (const auto& k : n->came) ++again[k.sqe.label()];
+  }
+  for (const auto& [label, n] : first) {
+    if (appends.contains(label)) {
+      CHECK(again[label] == 0);
+      CHECK(c.status(label - 1000) == st::kInternalPath);
+    } else {
+      CHECK(c.status(label - 1000) == st::kOk);
+      CHECK(again[label] == 1);
+    }
+  }
+  CHECK(c.count(st::kOk) + c.count(st::kInternalPath) + c.count(st::kCommandInterrupted) == 30);
+}
+
+TEST_CASE("a labelled write is not sent again outside its window") {
+  Rig r("\n");
+  r.config.settings.profiles[1].label_window = 0.05;
+  r.config.settings.profiles[1].contract = 1.5;
+  r.start();
+  auto& c = r.client();
+  r.nodes[0]->answers.reset();
+  c.write(1, 0);
+  REQUIRE(r.until([&] { return r.nodes[0]->came.size() == 1; }));
+  r.run(0.1);
+  r.nodes[0]->answers = st::kOk;
+  r.nodes[0]->target->reset_all();
+  REQUIRE(r.until([&] { return c.answers.size() == 1; }));
+  CHECK(c.status(1) == st::kInternalPath);
+  CHECK(r.nodes[0]->came.size() == 1);
+}
+
+TEST_CASE("a full node's word lets even an append go again; an error does not") {
+  Rig r;
+  r.start();
+  auto& c = r.client();
+  r.nodes[0]->answers = r.nodes[1]->answers = st::kCommandInterrupted;
+  c.append(1);
+  REQUIRE(r.until([&] { return r.nodes[0]->came.size() + r.nodes[1]->came.size() >= 2; }));
+  REQUIRE(r.until([&] { return c.answers.size() == 1; }));
+  CHECK(c.status(1) == st::kCommandInterrupted);  // harmless to try again: it never ran
+  r.nodes[0]->answers = r.nodes[1]->answers = st::kInternal;
+  const auto before = r.nodes[0]->came.size() + r.nodes[1]->came.size();
+  c.append(2);
+  REQUIRE(r.until([&] { return c.answers.size() == 2; }));
+  CHECK(c.status(2) == st::kInternalPath);
+  CHECK(r.nodes[0]->came.size() + r.nodes[1]->came.size() == before + 1);
+}
+
+TEST_CASE("drained mid-burst: nothing new reaches the node after the scheduler was told") {
+  Rig r;
+  r.start();
+  auto& c = r.client();
+  r.nodes[0]->answers.reset();
+  for (std::uint64_t i = 0; i < 100; ++i) c.read(i, i % 64);
+  REQUIRE(r.until([&] { return r.nodes[0]->came.size() >= 4; }));
+  auto nodes = r.all_ready();
+  nodes[0].listing = Listing::kDraining;
+  const int asked = r.list.asked;
+  r.list.change(nodes);
+  REQUIRE(r.until([&] { return r.list.asked > asked; }));
+  r.run(0.02);
+  const auto came = r.nodes[0]->came.size();
+  for (std::size_t i = 0; i < came; ++i) r.nodes[0]->answer(i);  // room at the node again
+  for (std::uint64_t i = 100; i < 120; ++i) c.read(i, i % 64);
+  REQUIRE(r.until([&] { return c.answers.size() == 120; }));
+  CHECK(r.nodes[0]->came.size() == came);
+  CHECK(c.count(st::kOk) == static_cast<int>(came));
+}
+
+TEST_CASE("drained with commands not written yet: they end as never sent") {
+  const MonotonicClock clock;
+  Loop loop(clock);
+  struct Ends final : gateway::NodeLinkOwner {
+    std::vector<Outcome> all;
+    void ended(int, const gateway::Dispatch&, Outcome o, nvme::Completion&&) override { all.push_back(o); }
+    void link_changed(int, const char*, const std::string&) override {}
+  } ends;
+  // A listener that accepts and never answers: the link never gets ready.
+  const Fd mute = listen_on({"127.0.0.1", 0});
+  gateway::NodeLink::Options o;
+  o.host.address = local_address(mute.get());
+  o.host.connect_timeout = 10;
+  o.most_waiting = 20;
+  gateway::NodeLink link(loop, 0, o, ends);
+  for (int i = 0; i < 21; ++i) {
+    gateway::Dispatch d;
+    d.until = clock.now() + 5;
+    link.send(d);
+  }
+  CHECK(ends.all.empty());  // nothing is told from inside send
+  CHECK(link.waiting() == 20);
+  loop.turn(0);
+  CHECK(ends.all.size() == 1);  // the one over the bound
+  link.drain();
+  CHECK(ends.all == std::vector<Outcome>(21, Outcome::kNoConnection));
+  CHECK(link.out() == 0);
+}
+
+TEST_CASE("a node that is gone refuses connections; a new process at its address is found") {
+  Rig r;
+  r.start();
+  auto& c = r.client();
+  const Address at = r.nodes[0]->address;
+  r.nodes[0]->target.reset();
+  c.read(1, 0);
+  REQUIRE(r.until([&] { return c.answers.size() == 1; }));
+  CHECK(c.status(1) == st::kCommandInterrupted);
+  r.nodes[0]->up(at);
+  c.read(2, 0);
+  REQUIRE(r.until([&] { return c.answers.size() == 2; }));
+  CHECK(c.status(2) == st::kOk);
+}
+
+TEST_CASE("a client that goes away: its commands are abandoned, nobody else's") {
+  Rig r;
+  r.start();
+  auto& leaves = r.client();
+  auto& stays = r.client();
+  r.nodes[0]->answers.reset();
+  for (std::uint64_t i = 0; i < 3; ++i) leaves.read(i, i);
+  stays.read(1, 5);
+  REQUIRE(r.until([&] { return r.nodes[0]->came.size() == 4; }));
+  leaves.host->close("leaves");
+  REQUIRE(r.until([&] { return r.scheduler->counts().abandoned == 3; }));
+  for (std::size_t i = 0; i < 4; ++i) r.nodes[0]->answer(i);
+  REQUIRE(r.until([&] { return r.scheduler->open() == 0; }));
+  REQUIRE(r.until([&] { return stays.answers.size() == 1; }));
+  CHECK(stays.status(1) == st::kOk);
+  CHECK(r.scheduler->counts().honoured == 1);
+}
+
+TEST_CASE("time-outs: a silent node costs its clients no more than their time, each one answer") {
+  Rig r;
+  r.start();
+  auto& c = r.client();
+  r.nodes[0]->answers.reset();
+  for (std::uint64_t i = 0; i < 8; ++i) c.read(i, i, 1, 0.4);
+  const double began = r.clock.now();
+  REQUIRE(r.until([&] { return c.answers.size() == 8; }));
+  CHECK(r.clock.now() - began < 10);
+  CHECK_FALSE(c.twice);
+  for (std::size_t i = 0; i < r.nodes[0]->came.size(); ++i) r.nodes[0]->answer(i);  // too late: no second answer
+  r.run(0.05);
+  CHECK(c.answers.size() == 8);
+  CHECK_FALSE(c.twice);
+  CHECK(r.scheduler->open() == 0);
+}
+
+TEST_CASE("stood still: what came meanwhile is as old as it can be, and answered at once where its time is up") {
+  Rig r;
+  r.start();
+  auto& c = r.client();
+  c.read(1, 0, 1, 0.5);
+  c.read(2, 0, 1, 5);
+  // Only the sender's half of the loop's work so far: the bytes are on their way, nothing was read.
+  ::usleep(700000);
+  REQUIRE(r.until([&] { return c.answers.size() == 2; }));
+  CHECK_FALSE(c.status(1).ok());
+  CHECK(r.nodes[0]->came.size() <= 1);
+  for (const auto& k : r.nodes[0]->came) CHECK(k.sqe.label() == 1002);
+}
+
+TEST_CASE("SIGTERM's drain: nothing new, all that was taken is answered") {
+  Rig r;
+  r.start();
+  auto& c = r.client();
+  r.nodes[0]->answers.reset();
+  c.read(1, 0);
+  REQUIRE(r.until([&] { return r.nodes[0]->came.size() == 1; }));
+  bool done = false;
+  r.scheduler->drain([&] { done = true; });
+  c.read(2, 0);
+  REQUIRE(r.until([&] { return c.answers.contains(2); }));
+  CHECK(c.status(2) == st::kCommandInterrupted);
+  CHECK_FALSE(done);
+  r.nodes[0]->answer(0);
+  REQUIRE(r.until([&] { return done; }));
+  REQUIRE(r.until([&] { return c.answers.contains(1); }));
+  CHECK(c.status(1) == st::kOk);
+}
+
+TEST_CASE("bounds at the door: over them a command is turned back at once, with a time to come back") {
+  Rig r;
+  r.config.most_open = 3;
+  r.start();
+  auto& c = r.client();
+  r.nodes[0]->answers.reset();
+  for (std::uint64_t i = 0; i < 5; ++i) c.read(i, i);
+  REQUIRE(r.until([&] { return c.answers.size() == 2; }));
+  CHECK(c.count(st::kCommandInterrupted) == 2);
+  CHECK(c.answers.begin()->second.status().crd == 1);
+  CHECK(r.scheduler->counts().at_door == 2);
+}
+
+TEST_CASE("the saved list: used at a start without the list; torn or absent ones are survived") {
+  const std::string path = scratch("saved");
+  std::string reason;
+  ::unlink(path.c_str());
+  CHECK_FALSE(gateway::load_saved_list(path, reason));
+  CHECK(reason == "none");
+  Rig r;
+  const auto nodes = r.all_ready();
+  REQUIRE(gateway::save_list(path, nodes));
+  const auto back = gateway::load_saved_list(path, reason);
+  REQUIRE(back);
+  CHECK(back->size() == 2);
+  CHECK(back->at(1).address == nodes[1].address);
+  std::ifstream in(path);
+  const std::string whole((std::istreambuf_iterator<char>(in)), {});
+  for (std::size_t n = 0; n < whole.size(); n += 7) {
+    std::ofstream(path, std::ios::trunc) << whole.substr(0, n);
+    CHECK_FALSE(gateway::load_saved_list(path, reason));
+  }
+  REQUIRE(gateway::save_list(path, nodes));
+  r.config.saved_list = path;
+  r.config.list = {"127.0.0.1", 1};  // nobody listens there
+  r.start(false);
+  auto& c = r.client();
+  c.read(1, 0);
+  REQUIRE(r.until([&] { return c.answers.size() == 1; }));
+  CHECK(c.status(1) == st::kOk);
+}
+
+TEST_CASE("the list on the wire: what is no list of ours is refused whole") {
+  Rig r;
+  const auto page = gateway::encode_list(r.all_ready(), 3, "s");
+  std::string reason;
+  CHECK(gateway::decode_list(page, reason)->size() == 2);
+  CHECK_FALSE(gateway::decode_list(nvme::View(page).first(1000), reason));
+  CHECK_FALSE(gateway::decode_list(nvme::View(page).first(2048), reason));
+  CHECK(reason == "fewer bytes than the records announced");
+  auto broken = page;
+  broken[1024 + 992] = 'X';
+  CHECK_FALSE(gateway::decode_list(broken, reason));
+  CHECK(reason == "record 0: no vendor part");
+  broken = page;
+  broken[2048 + 32] = 'x';
+  CHECK_FALSE(gateway::decode_list(broken, reason));
+  CHECK(reason == "record 1: no address");
+}
+
+TEST_CASE("a list of 300 nodes comes in parts; one that changes in between is asked for again") {
+  std::vector<gateway::ListedNode> many;
+  for (int i = 0; i < 300; ++i) {
+    many.push_back({{"127.0.0.1", static_cast<std::uint16_t>(1 + i)}, 0, i % 2, Listing::kDraining, 0});
+  }
+  Rig r("", many, true);
+  r.start(false);
+  REQUIRE(r.until([&] { return r.list.asked >= 2; }));
+  r.run(0.1);
+  auto& c = r.client();
+  c.read(1, 0);
+  REQUIRE(r.until([&] { return c.answers.size() == 1; }));
+  CHECK(c.status(1) == st::kCommandInterrupted);
+  r.list.change(r.all_ready());
+  const int asked = r.list.asked;
+  REQUIRE(r.until([&] { return r.list.asked > asked; }));
+  r.run(0.1);
+  c.read(2, 0);
+  REQUIRE(r.until([&] { return c.answers.size() == 2; }));
+  CHECK(c.status(2) == st::kOk);
+}
