--- /dev/null
+++ b/bench/decision.cpp
@@ -0,0 +1,130 @@
+// What a decision costs: one whole transaction (landing, dispatch, reply) at nodes that answer quickly, beside
+// others that are held at one node that does not.
+#include <benchmark/benchmark.h>
+
+#include <deque>
+
+#include "control.h"
+
+using namespace heronworks;
+
+namespace {
+
+class Nobody final : public Host {
+ public:
+  void dispatch(int transaction, int node, double) override {
+    last = transaction;
+    last_node = node;
+    if (node == 0) at_first.push_back(transaction);
+  }
+  void turn_back(int, double) override {}
+  void give_up(int) override {}
+  void forget(int) override {}
+  void watch_list() override {}
+  void wake_at(double time) override { wake = time; }
+  int last = -1;
+  int last_node = -1;
+  std::deque<int> at_first;  // out at node 0
+  double wake = 0;
+};
+
+Settings settings(int schedulers) {
+  Settings s;
+  s.seed = 1;
+  s.schedulers = schedulers;
+  Profile p;
+  p.contract = 1e6;
+  p.cut_off = 2e6;
+  p.benefit = 1;
+  p.repeat = Repeat::kRedoable;
+  s.profiles = {p};
+  Plan plan;
+  plan.usual = plan.reservation = 1e9;
+  plan.weight = plan.benefit_factor = 1;
+  s.plans = {plan};
+  s.largest_units = 8;
+  s.mean_units = 1;
+  s.share_part = s.spare_part = 1;
+  s.dispatch_cap = 3;
+  s.resolution = 0.001;
+  return s;
+}
+
+Transaction to(int shard, int volume, std::uint64_t key) {
+  Transaction t;
+  t.has_key = true;
+  t.key = key;
+  t.time_left = 2e6;
+  t.units = 1;
+  t.volume = volume;
+  t.plan = 0;
+  t.shard = shard;
+  t.hosts = 1;
+  return t;
+}
+
+void transaction(benchmark::State& state) {
+  const int nodes = static_cast<int>(state.range(0));
+  const int held = static_cast<int>(state.range(1));
+  Nobody host;
+  double now = 1000;
+  Control control(settings(1), host, now);
+  std::vector<Entry> list;
+  for (int i = 0; i < nodes; ++i) list.push_back({i, 0, i, Listing::kReady, 0});
+  control.list_news(now, Scope::kWhole, list);
+  int id = 0;
+  // Filled once; each landing looks at what is held, so this part is not timed.
+  for (; id < held + 4; ++id) {
+    now += 1e-9;
+    control.landed(now, id, to(0, id % 100, static_cast<std::uint64_t>(id)));
+  }
+  std::uint64_t count = 0;
+  for (auto _ : state) {
+    now += 100e-6;
+    if (now >= host.wake) control.woken(now);
+    const int shard = 1 + static_cast<int>(count++ % static_cast<std::uint64_t>(nodes - 1));
+    control.landed(now, id, to(shard, shard % 100, 1 << 30));
+    Reply r;
+    r.node = shard;
+    r.elapsed = 50e-6;
+    r.finished = true;
+    if (host.last == id) control.replied(now + 50e-6, id, r);
+  }
+  state.counters["nodes"] = nodes;
+  state.counters["held"] = held;
+}
+
+// The same at the node where all is held: each reply makes room for the best of them.
+void at_the_queue(benchmark::State& state) {
+  const int held = static_cast<int>(state.range(0));
+  Nobody host;
+  double now = 1000;
+  Control control(settings(1), host, now);
+  control.list_news(now, Scope::kWhole, {{0, 0, 0, Listing::kReady, 0}});
+  int id = 0;
+  for (; id < held; ++id) {
+    now += 1e-9;
+    control.landed(now, id, to(0, id % 100, static_cast<std::uint64_t>(id)));
+  }
+  for (auto _ : state) {
+    now += 100e-6;
+    if (now >= host.wake) control.woken(now);
+    const int done = host.at_first.front();
+    host.at_first.pop_front();
+    Reply r;
+    r.elapsed = 0.01;
+    r.finished = true;
+    control.replied(now, done, r);
+    control.landed(now, done, to(0, done % 100, static_cast<std::uint64_t>(done)));
+  }
+  state.counters["held"] = held;
+}
+
+}  // namespace
+
+BENCHMARK(at_the_queue)->Arg(100)->Arg(1000)->Arg(10000)->Unit(benchmark::kMicrosecond);
+BENCHMARK(transaction)
+    ->ArgsProduct({{10, 100, 1000}, {0, 100, 1000, 10000}})
+    ->Unit(benchmark::kMicrosecond);
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/bench/wire.cpp
@@ -0,0 +1,291 @@
+// Reads of 4 KiB straight to a stand-in that does no work, and through a scheduler to the same; and what a
+// scheduler needs for 1,000 connections and 10,000 open transactions. Each part is a process of its own.
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+
+#include "gateway/scheduler.h"
+
+using namespace heronworks;
+
+namespace {
+
+constexpr double kRound = 1.5;  // s of each measurement
+constexpr int kRounds = 3;
+
+// Answers every read at once with the same bytes; with `mute`, none.
+class NullNode final : public nvme::Backend {
+ public:
+  NullNode(Loop& loop, Fd fd, std::string subsystem, bool mute) : mute_(mute), data_(4096, 0x5a) {
+    nvme::TargetOptions o;
+    o.subsystem = std::move(subsystem);
+    o.queue_size = 4096;
+    target = std::make_unique<nvme::Target>(loop, std::move(fd), o, *this);
+  }
+  nvme::Status identify(std::uint8_t, std::uint8_t, std::uint32_t, nvme::Bytes&) override { return {}; }
+  void command(nvme::Command&& c) override {
+    if (!mute_) target->complete(c.connection, c.sqe.cid, {}, 0, data_);
+  }
+  void log_page(nvme::ConnectionId connection, std::uint16_t cid, std::uint8_t, std::uint64_t offset,
+                std::uint32_t length) override {
+    const auto bytes = gateway::encode_list(nodes, 1, "x");
+    target->complete(connection, cid, {}, 0,
+                     nvme::View(bytes).subspan(offset, std::min<std::size_t>(length, bytes.size() - offset)));
+  }
+  void closed(nvme::ConnectionId) override {}
+  std::vector<gateway::ListedNode> nodes;
+  std::unique_ptr<nvme::Target> target;
+
+ private:
+  const bool mute_;
+  const nvme::Bytes data_;
+};
+
+struct Part {
+  pid_t pid = 0;
+  Address address;
+};
+
+template <typename Body>
+Part part(Body body) {
+  int pipe_ends[2];
+  if (::pipe(pipe_ends) != 0) std::exit(1);
+  const pid_t pid = ::fork();
+  if (pid == 0) {
+    body([&](const Address& a) {
+      const std::string text = a.text() + "\n";
+      if (::write(pipe_ends[1], text.data(), text.size()) < 0) std::exit(1);
+      ::close(pipe_ends[1]);
+    });
+    std::_Exit(0);
+  }
+  ::close(pipe_ends[1]);
+  char text[64] = {};
+  const auto n = ::read(pipe_ends[0], text, sizeof text - 1);
+  ::close(pipe_ends[0]);
+  if (n <= 0) std::exit(1);
+  return {pid, *Address::parse(std::string(text, static_cast<std::size_t>(n) - 1))};
+}
+
+Part start_node(bool mute) {
+  return part([&](auto tell) {
+    const MonotonicClock clock;
+    Loop loop(clock);
+    NullNode n(loop, listen_on({"127.0.0.1", 0}), "nqn.2026-11.org.heronworks:node", mute);
+    tell(n.target->address());
+    loop.run();
+  });
+}
+
+Part start_list(const Address& node) {
+  return part([&](auto tell) {
+    const MonotonicClock clock;
+    Loop loop(clock);
+    NullNode n(loop, listen_on({"127.0.0.1", 0}), std::string(nvme::kDiscoveryName), false);
+    n.nodes = {{node, 0, 0, Listing::kReady, 0}};
+    tell(n.target->address());
+    loop.run();
+  });
+}
+
+Part start_scheduler(const Address& list, double contract) {
+  const std::string path = "/tmp/heronworks-bench-" + std::to_string(::getpid()) + ".toml";
+  std::ofstream(path) << "[scheduler]\nlisten = \"127.0.0.1:0\"\n[list]\naddress = \"" << list.text()
+                      << "\"\n[space]\nzone_blocks = 4096\nzones = 4\nshards = 1\n[log]\nlevel = \"error\"\n"
+                      << "[limits]\nconnections = 5000\nopen = 20000\n"
+                      << "[[profile]]\nname = \"r\"\ncontract = " << contract << "\ncut_off = " << 2 * contract
+                      << "\nrepeat = \"redoable\"\n[[plan]]\nname = \"p\"\nusual = 1e8\nreservation = 1e8\n"
+                      << "[[match]]\nprofile = \"r\"\n[[volumes]]\nfirst = 1\nplan = \"p\"\n";
+  return part([&](auto tell) {
+    config::Problems problems;
+    const auto c = config::read_gateway(path, problems);
+    for (const auto& p : problems) std::fprintf(stderr, "%s\n", p.shown().c_str());
+    const MonotonicClock clock;
+    Loop loop(clock);
+    gateway::Log log("", "error", 100);
+    gateway::Scheduler s(loop, c.value(), log);
+    tell(s.address());
+    loop.run();
+  });
+}
+
+nvme::HostOptions options(const Address& at, const char* subsystem, std::uint16_t depth) {
+  nvme::HostOptions o;
+  o.address = at;
+  o.subsystem = subsystem;
+  o.depth = depth;
+  o.keep_alive = 0;
+  o.connect_timeout = 10;
+  return o;
+}
+
+nvme::Sqe read_of(std::uint64_t i) {
+  nvme::Sqe q;
+  q.opcode = nvme::opcode::kRead;
+  q.nsid = 1;
+  q.set_slba(i % 4096);
+  q.set_blocks(1);
+  return q;
+}
+
+struct Figures {
+  double rate = 0;
+  std::vector<double> times;
+  int failed = 0;
+  double at(double part) {
+    std::sort(times.begin(), times.end());
+    return times.empty() ? 0 : times[std::min(times.size() - 1, static_cast<std::size_t>(part * static_cast<double>(times.size())))];
+  }
+};
+
+// Keeps `depth` reads out for a while.
+class Reader final : public nvme::HostOwner {
+ public:
+  Reader(Loop& loop, const nvme::HostOptions& o, int depth) : loop_(loop), depth_(depth), host_(loop, o, *this) {}
+  void ready() override {
+    began_ = loop_.now();
+    for (int i = 0; i < depth_; ++i) next();
+  }
+  void completed(std::uint64_t token, nvme::Completion&& c) override {
+    if (!c.arrived || !c.status().ok()) ++figures.failed;
+    const double now = loop_.now();
+    figures.times.push_back(now - sent_[token % 64]);
+    if (now - began_ >= kRound) {
+      figures.rate = static_cast<double>(figures.times.size()) / (now - began_);
+      loop_.stop();
+      return;
+    }
+    next();
+  }
+  void down(const std::string& reason) override {
+    std::fprintf(stderr, "bench: %s\n", reason.c_str());
+    std::exit(1);
+  }
+  Figures figures;
+
+ private:
+  void next() {
+    if (!host_.ready()) return;
+    const auto token = count_++;
+    sent_[token % 64] = loop_.now();
+    host_.submit(token, read_of(token), nullptr, 4096);
+  }
+  Loop& loop_;
+  const int depth_;
+  nvme::Host host_;
+  std::uint64_t count_ = 0;
+  std::array<double, 64> sent_{};
+  double began_ = 0;
+};
+
+Figures measure(const Address& at, const char* subsystem, int depth) {
+  const MonotonicClock clock;
+  Loop loop(clock);
+  Reader r(loop, options(at, subsystem, 64), depth);
+  loop.run();
+  return std::move(r.figures);
+}
+
+double cpu_of(pid_t pid) {
+  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+  std::string word;
+  double ticks = 0;
+  for (int i = 1; stat >> word && i <= 15; ++i) {
+    if (i >= 14) ticks += std::stod(word);
+  }
+  return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+double memory_of(pid_t pid) {
+  std::ifstream statm("/proc/" + std::to_string(pid) + "/statm");
+  double all = 0;
+  double resident = 0;
+  statm >> all >> resident;
+  return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1048576;
+}
+
+class Idle final : public nvme::HostOwner {
+ public:
+  Idle(Loop& loop, const nvme::HostOptions& o) : host(loop, o, *this) {}
+  void ready() override {}
+  void completed(std::uint64_t, nvme::Completion&&) override {}
+  void down(const std::string& r) override { std::fprintf(stderr, "bench: %s\n", r.c_str()); }
+  nvme::Host host;
+};
+
+void memory() {
+  const Part node = start_node(true);
+  const Part list = start_list(node.address);
+  const Part scheduler = start_scheduler(list.address, 1000);
+  ::usleep(300000);
+  const double empty = memory_of(scheduler.pid);
+  const MonotonicClock clock;
+  Loop loop(clock);
+  std::vector<std::unique_ptr<Idle>> clients;
+  // 500 associations: an admin and an I/O connection each.
+  for (int i = 0; i < 500; ++i) {
+    clients.push_back(std::make_unique<Idle>(loop, options(scheduler.address, "nqn.2026-11.org.heronworks:gateway", 128)));
+    if (i % 50 == 49) {
+      const double end = clock.now() + 10;
+      while (clock.now() < end && !std::all_of(clients.begin(), clients.end(), [](auto& c) { return c->host.ready(); }))
+        loop.turn(0.01);
+    }
+  }
+  const double connected = memory_of(scheduler.pid);
+  const double cpu_before = cpu_of(scheduler.pid);
+  for (std::uint64_t i = 0; i < 10000; ++i) clients[i % clients.size()]->host.submit(i, read_of(i), nullptr, 4096);
+  const double end = clock.now() + 3;
+  while (clock.now() < end) loop.turn(0.01);
+  std::printf("\nscheduler's resident memory: %.1f MiB empty, %.1f with 1,000 connections, %.1f with 10,000 open too\n",
+              empty, connected, memory_of(scheduler.pid));
+  std::printf("CPU of the scheduler in the 3 s after they came, nothing answered: %.2f s\n",
+              cpu_of(scheduler.pid) - cpu_before);
+  for (const Part& p : {scheduler, list, node}) {
+    ::kill(p.pid, SIGKILL);
+    ::waitpid(p.pid, nullptr, 0);
+  }
+}
+
+}  // namespace
+
+int main() {
+  const Part node = start_node(false);
+  const Part list = start_list(node.address);
+  const Part scheduler = start_scheduler(list.address, 10);
+  ::usleep(300000);
+  std::printf("\n4 KiB reads, a stand-in that does no work; all on one machine; best of %d rounds each\n", kRounds);
+  std::printf("%-10s %5s %10s %9s %9s %9s %7s\n", "way", "deep", "reads/s", "p50 us", "p99 us", "p999 us", "failed");
+  for (const int depth : {1, 32}) {
+    Figures best[2];
+    double cpu[2] = {};
+    double reads[2] = {};
+    for (int round = 0; round < kRounds; ++round) {
+      for (int way = 0; way < 2; ++way) {
+        const double before = cpu_of(scheduler.pid);
+        Figures f = way == 0 ? measure(node.address, "nqn.2026-11.org.heronworks:node", depth)
+                             : measure(scheduler.address, "nqn.2026-11.org.heronworks:gateway", depth);
+        cpu[way] += cpu_of(scheduler.pid) - before;
+        reads[way] += static_cast<double>(f.times.size());
+        if (f.rate > best[way].rate) best[way] = std::move(f);
+      }
+    }
+    for (int way = 0; way < 2; ++way) {
+      Figures& f = best[way];
+      std::printf("%-10s %5d %10.0f %9.1f %9.1f %9.1f %7d\n", way == 0 ? "straight" : "scheduler", depth, f.rate,
+                  1e6 * f.at(0.5), 1e6 * f.at(0.99), 1e6 * f.at(0.999), f.failed);
+    }
+    std::printf("%-10s %5d %10.2f  p50 +%.1f us; the scheduler's CPU %.1f us a read\n", "ratio", depth,
+                best[1].rate / best[0].rate, 1e6 * (best[1].at(0.5) - best[0].at(0.5)), 1e6 * cpu[1] / reads[1]);
+  }
+  for (const Part& p : {scheduler, list, node}) {
+    ::kill(p.pid, SIGKILL);
+    ::waitpid(p.pid, nullptr, 0);
+  }
+  memory();
+  return 0;
+}
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -126,6 +126,14 @@
     node.shard = e.shard;
     node.came_up = e.came_up;
   }
+  newest_.clear();
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    const Node& node = nodes_[i];
+    if (node.listing != Listing::kReady || node.shard < 0) continue;
+    if (newest_.size() <= at(node.shard)) newest_.resize(at(node.shard) + 1, -1);
+    int& newest = newest_[at(node.shard)];
+    if (newest < 0 || node.came_up > nodes_[at(newest)].came_up) newest = static_cast<int>(i);
+  }
   serve(now);
 }
 
@@ -158,12 +166,15 @@
   const int node = place(now, o);
   if (node >= 0) v.load += t.units * load(nodes_[at(node)]);
   if (profile.in_order && t.has_key) lanes_[t.key].line.push_back(id);
-  o.held = true;
-  held_.push_back(id);
+  hold(id);
   if (now == stalled_at_) {  // all that came meanwhile is looked at together
     wake(now, now + settings_.resolution);
+  } else if (stuck(now, t.shard)) {
+    consider(now, id);
+    look(now);
+    if (!o.held) waiting_[at(t.shard + 1)].ids.pop_back();
   } else {
-    serve(now);
+    serve(now, t.shard);
   }
 }
 
@@ -246,11 +257,10 @@
              !may_go_again(now, o, node) || !again_wanted(o, node)) {
     answer(now, id);
   } else {
-    o.held = true;
     o.not_before = now + kAgainPause * o.dispatches;
-    held_.push_back(id);
+    hold(id);
   }
-  serve(now);
+  serve(now, node.shard);
 }
 
 void Control::stream_began(double, int id) { open_[at(id)].cut_off_at = kNever; }
@@ -267,8 +277,10 @@
     if (o.t.has_key) past_[o.t.key] = {o.t.volume, o.t.profile, o.cut_off_at, o.contract_at};
   }
   o.over = true;
+  const bool was_held = o.held;
   close(id);
-  serve(now);
+  if (was_held) tidy(o.t.shard);
+  serve(now, o.t.shard);
 }
 
 void Control::woken(double now) {
@@ -348,7 +360,7 @@
   }
   o.dispatches += 1;
   o.out += 1;
-  o.held = false;
+  release(o);
   // Danger: queues full of work whose contract time is past, so that nothing is in time. A node drops what
   // has timed out unbegun. Acts in any crowd; as answers a little late earn something too, the fewer replies
   // are bad the longer they are waited for, up to one tightest contract time more.
@@ -357,21 +369,81 @@
   return Verdict::kGone;
 }
 
-// Looks at all that is held, the most worth first; what can no longer keep its contract time is answered.
+// Looks at all that is held. What one event can change is looked at at once, see serve(now, shard); what time
+// or another shard's event changes, at the next sweep.
 void Control::serve(double now) {
-  order_.clear();
-  for (int id : held_) {
-    Open& o = open_[at(id)];
-    if (!o.held) continue;
-    o.worth = worth(now, o);
-    order_.push_back({o.worth / (kSlackUnit + std::max(o.contract_at - now, 0.0)), id});
-  }
-  std::stable_sort(order_.begin(), order_.end(), [](auto& a, auto& b) { return a.first > b.first; });
-  for (Node& node : nodes_) node.full = false;
+  for (std::size_t i = 0; i < waiting_.size(); ++i) take(now, static_cast<int>(i) - 1);
+  look(now);
+}
+
+// After an event at a shard: what is held for it, and new objects, which may go to its node.
+void Control::serve(double now, int shard) {
+  take(now, -1);
+  if (shard >= 0) take(now, shard);
+  look(now);
+}
+
+void Control::hold(int id) {
+  Open& o = open_[at(id)];
+  o.held = true;
+  o.queued = ++queued_;
+  ++held_;
+  if (waiting_.size() <= at(o.t.shard + 1)) waiting_.resize(at(o.t.shard + 1) + 1);
+  Waiting& w = waiting_[at(o.t.shard + 1)];
+  if (w.ids.empty()) w = Waiting{{}, kNever, kNever, kNever, 0, false, false};
+  w.ids.push_back(id);
+  w.contract_at = std::min(w.contract_at, o.contract_at);
+  w.cut_off_at = std::min(w.cut_off_at, o.cut_off_at);
+  w.least_units = std::min(w.least_units, o.t.units);
+  w.most_units = std::max(w.most_units, o.t.units);
+  w.again = w.again || o.dispatches > 0;
+}
+
+void Control::release(Open& o) {
+  if (o.held) --held_;
+  o.held = false;
+}
+
+// Danger: a long queue is looked at with every event, and this scheduler drowns in its backlog. While a shard's
+// node has no room even for the least of what waits for it, none may go again, and none is late or near its
+// cut-off, a look would change nothing. May hurt where the bounds on what waits are too wide: it is looked at.
+bool Control::stuck(double now, int shard) {
+  if (shard < 0 || waiting_.size() <= at(shard + 1)) return false;
+  const Waiting& w = waiting_[at(shard + 1)];
+  if (w.ids.empty() || w.again || now + answer_margin_ >= w.cut_off_at) return false;
+  const int index = at(shard) < newest_.size() ? newest_[at(shard)] : -1;
+  if (index < 0) return now < w.contract_at;
+  Node& node = nodes_[at(index)];
+  if (now + kWaitMargin * std::max(node.wait, 0.0) + node.best * w.most_units >= w.contract_at) return false;
+  smallest_.t.units = w.least_units;
+  if (has_room(now, node, smallest_)) return false;
+  node.pressed = node.pressed || w.pressed;
+  return true;
+}
+
+void Control::take(double now, int shard) {
+  if (waiting_.size() <= at(shard + 1) || waiting_[at(shard + 1)].ids.empty() || stuck(now, shard)) return;
+  taken_.push_back(shard);
+  waiting_[at(shard + 1)].pressed = false;
+  for (int id : waiting_[at(shard + 1)].ids) consider(now, id);
+}
+
+void Control::consider(double now, int id) {
+  Open& o = open_[at(id)];
+  o.worth = worth(now, o);
+  order_.push_back({o.worth / (kSlackUnit + std::max(o.contract_at - now, 0.0)), id});
+}
+
+// The most worth first; what can no longer keep its contract time is answered.
+void Control::look(double now) {
+  std::sort(order_.begin(), order_.end(), [&](auto& a, auto& b) {
+    return a.first != b.first ? a.first > b.first : open_[at(a.second)].queued < open_[at(b.second)].queued;
+  });
+  ++look_;
   for (const auto& [score, id] : order_) {
     Open& o = open_[at(id)];
     const int index = o.t.shard < 0 ? -1 : place(now, o);
-    const bool full = index >= 0 && nodes_[at(index)].full;
+    const bool full = index >= 0 && nodes_[at(index)].full == look_;
     // Danger: work that can no longer keep its contract time makes the next miss theirs. While it seems late
     // only it goes to a node that was sent nothing for a while, as a trial that finds out when an old latency
     // no longer holds.
@@ -382,16 +454,32 @@
         full || (late && (now >= o.contract_at || node->out > 0 || now - node->last_sent < kTrialEvery))
             ? Verdict::kNodeFull
             : decide(now, id);
-    if (verdict == Verdict::kNodeFull && !late && index >= 0) nodes_[at(index)].full = true;
+    if (verdict == Verdict::kNodeFull && !late && index >= 0) nodes_[at(index)].full = look_;
     if (!o.held || (!late && now + answer_margin_ < o.cut_off_at)) continue;
     answer(now, id);
   }
-  std::erase_if(held_, [&](int id) { return !open_[at(id)].held; });
-
-  const double wanted = std::min(held_.empty() ? second_at_ : std::min(second_at_, now + kSweep), ask_at_);
+  order_.clear();
+  for (const int shard : taken_) tidy(shard);
+  taken_.clear();
+  const double wanted = std::min(held_ == 0 ? second_at_ : std::min(second_at_, now + kSweep), ask_at_);
   wake(now, std::max(wanted, now + kSweep / 2));
 }
 
+// Takes out what is not held any more, and narrows the bounds to what is.
+void Control::tidy(int shard) {
+  Waiting& w = waiting_[at(shard + 1)];
+  std::erase_if(w.ids, [&](int id) { return !open_[at(id)].held; });
+  w = Waiting{std::move(w.ids), kNever, kNever, kNever, 0, false, w.pressed};
+  for (int id : w.ids) {
+    const Open& o = open_[at(id)];
+    w.contract_at = std::min(w.contract_at, o.contract_at);
+    w.cut_off_at = std::min(w.cut_off_at, o.cut_off_at);
+    w.least_units = std::min(w.least_units, o.t.units);
+    w.most_units = std::max(w.most_units, o.t.units);
+    w.again = w.again || o.dispatches > 0;
+  }
+}
+
 void Control::wake(double now, double time) {
   // Danger: a wake-up that comes a rounding early looks as if it were still to come, and none follows it.
   if (next_wake_ > now + kClockSlack && time >= next_wake_) return;
@@ -430,7 +518,7 @@
   const Profile& profile = settings_.profiles[at(o.t.profile)];
   const bool labelled = profile.repeat == Repeat::kLabelled && profile.group == Group::kAll;
   const bool harmless = (!o.may_have_run && o.out == 0) || profile.repeat == Repeat::kRedoable || labelled;
-  o.held = false;
+  release(o);
   o.over = true;
   if (o.t.has_key) past_[o.t.key] = {o.t.volume, o.t.profile, o.cut_off_at, o.contract_at};
   if (now >= o.cut_off_at || !harmless) {
@@ -444,7 +532,7 @@
 // Frees what a transaction holds once it is over and none of its dispatches is out.
 void Control::close(int id) {
   Open& o = open_[at(id)];
-  o.held = false;
+  release(o);
   if (o.out > 0 || !o.used) return;
   if (settings_.profiles[at(o.t.profile)].in_order && o.t.has_key) std::erase(lanes_[o.t.key].line, id);
   o.used = false;
@@ -501,13 +589,7 @@
 // The node for a transaction, or -1. A shard's newest ready node; for a new object, see rotate().
 int Control::place(double now, const Open& o) {
   if (o.t.shard < 0) return rotate(now, o);
-  int best = -1;
-  for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    const Node& node = nodes_[i];
-    if (node.listing != Listing::kReady || node.shard != o.t.shard) continue;
-    if (best < 0 || node.came_up > nodes_[at(best)].came_up) best = static_cast<int>(i);
-  }
-  return best;
+  return at(o.t.shard) < newest_.size() ? newest_[at(o.t.shard)] : -1;
 }
 
 // Weighted rotation for new objects over the ready nodes with room. The weight is what a node has been seen
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -59,6 +59,10 @@
 
 // The loop looks at its sockets at least this often, so that it knows when it stood still.
 void Scheduler::beat() {
+  if (const double still = loop_.now() - beat_due_; beat_due_ > 0 && still > Loop::kStall) {
+    log_.warn(loop_.now(), "stood_still", {{"seconds", still}});
+  }
+  beat_due_ = loop_.now() + kBeat;
   beat_ = loop_.at(loop_.now() + kBeat, [this] { beat(); });
 }
 
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -104,6 +104,7 @@
   Loop::Timer wake_ = 0;
   Loop::Timer report_ = 0;
   Loop::Timer beat_ = 0;
+  double beat_due_ = 0;
   Counts counts_;
   Counts reported_;
   std::function<void()> drained_;
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-Loop::Loop(const Clock& clock) : clock_(clock), turn_time_(clock.now()), last_look_(turn_time_), looked_at_(turn_time_) {
+Loop::Loop(const Clock& clock) : clock_(clock), turn_time_(clock.now()), looked_at_(turn_time_) {
   int ends[2];
   if (::pipe2(ends, O_NONBLOCK | O_CLOEXEC) != 0) throw std::runtime_error("no pipe for signals");
   signal_read_ = Fd(ends[0]);
@@ -117,8 +117,13 @@
   if (!heap_.empty()) wait = std::clamp(heap_.front().time - clock_.now(), 0.0, most);
   timespec left{static_cast<time_t>(wait), static_cast<long>((wait - std::floor(wait)) * 1e9)};
   const int ready = ::ppoll(polled_.data(), polled_.size(), &left, nullptr);
-  last_look_ = std::exchange(looked_at_, clock_.now());
-  turn_time_ = looked_at_;
+  if (ready < 0) return;  // interrupted: nothing was looked at
+  turn_time_ = clock_.now();
+  const double last_look = std::exchange(looked_at_, turn_time_);
+  if (turn_time_ - last_look > kStall) {
+    if (turn_time_ > stall_seen_ + kSettle) stall_from_ = last_look;
+    stall_seen_ = turn_time_;
+  }
   if (ready > 0) {
     // Callbacks may watch and unwatch: go by a copy of what is ready, and check that each is still the same.
     struct Ready {
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <sys/uio.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 
@@ -74,6 +75,7 @@
 void Stream::pause(bool paused) {
   if (paused_ == paused) return;
   paused_ = paused;
+  drained_ = false;
   update();
   if (!paused && in_end_ > 0) {  // what was left unused may be usable now
     loop_.defer([this, alive = alive_] {
@@ -110,14 +112,16 @@
 }
 
 void Stream::readable() {
-  if (in_.size() < in_end_ + kReadAtOnce) in_.resize(in_end_ + kReadAtOnce);
+  if (in_.size() < in_end_ + room_) in_.resize(in_end_ + room_);
   const auto alive = alive_;
-  const auto n = read_some(in_.data() + in_end_, kReadAtOnce);
+  const auto n = read_some(in_.data() + in_end_, room_);
   if (n < 0) {
     if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) return;
     return fail(std::strerror(errno));
   }
   if (n == 0) return fail("closed by the peer");
+  drained_ = static_cast<std::size_t>(n) < room_;
+  if (!drained_) room_ = std::min(2 * room_, kReadAtOnce);
   in_end_ += static_cast<std::size_t>(n);
   const auto used = owner_.received({in_.data(), in_end_});
   if (!*alive) return;
--- a/src/loop/stream.h
+++ b/src/loop/stream.h
@@ -34,7 +34,8 @@
 class Stream final : private Pollable {
  public:
   static constexpr std::size_t kMostIn = std::size_t{4} << 20;  // bytes unconsumed at which it is an error
-  static constexpr std::size_t kReadAtOnce = std::size_t{256} << 10;
+  static constexpr std::size_t kReadAtFirst = std::size_t{8} << 10;
+  static constexpr std::size_t kReadAtOnce = std::size_t{256} << 10;  // most bytes of one read
 
   // `connecting`: wait for the connection to come up first.
   Stream(Loop& loop, Fd fd, StreamOwner& owner, bool connecting = false);
@@ -56,6 +57,8 @@
   // When the newest bytes read arrived at this machine, by the kernel's own mark, in seconds of
   // CLOCK_MONOTONIC; the time of reading where the kernel gives none. Needs mark_arrivals().
   double arrived_at() const { return arrived_at_; }
+  // Whether the newest read found the end of what had come; false while a pause or a bound leaves some unread.
+  bool drained() const { return drained_; }
   void mark_arrivals();
 
  private:
@@ -72,6 +75,8 @@
   bool connecting_;
   bool paused_ = false;
   bool marks_ = false;
+  bool drained_ = true;
+  std::size_t room_ = kReadAtFirst;  // bytes to read at once; grows while reads fill it
   double arrived_at_ = 0;
   std::vector<std::uint8_t> in_;
   std::size_t in_end_ = 0;
--- a/src/nvme/host.cpp
+++ b/src/nvme/host.cpp
@@ -37,8 +37,9 @@
   }
 
   bool up() const { return up_; }
-  bool has_room() const { return !free_.empty(); }
-  std::size_t out() const { return slots_.size() - free_.size(); }
+  // A queue of n entries holds n - 1 commands (Base 3.3.1.4).
+  bool has_room() const { return free_.size() > 1; }
+  std::size_t out() const { return down_ ? 0 : slots_.size() - free_.size(); }
   std::size_t unsent() const { return stream_ ? stream_->unsent() : 0; }
   std::uint16_t id() const { return id_; }
 
@@ -78,6 +79,7 @@
       host_.finished(s.token, std::move(c), true);
     }
     free_.clear();
+    down_ = true;
   }
 
   void connected() override {
@@ -234,6 +236,7 @@
   Digests digests_;
   std::unique_ptr<Stream> stream_;
   bool up_ = false;
+  bool down_ = false;
   std::uint32_t most_data_ = 4096;
   std::vector<Slot> slots_;          // by command identifier
   std::vector<std::uint16_t> free_;  // identifiers
--- a/src/nvme/target.cpp
+++ b/src/nvme/target.cpp
@@ -31,6 +31,8 @@
   std::size_t received(View bytes) override {
     std::size_t done = 0;
     heard_at_ = target_.loop_.now();
+    // What waited unread is as old as when it began to wait.
+    came_at_ = backlog_since_ >= 0 ? std::min(backlog_since_, arrival()) : arrival();
     while (!gone_) {
       std::size_t used = 0;
       std::optional<FatalError> error;
@@ -48,6 +50,7 @@
       if (!take(*pdu)) break;
       done += used;
     }
+    backlog_since_ = waiting_ || !stream_.drained() ? came_at_ : -1;
     return done;
   }
 
@@ -202,7 +205,7 @@
     }
     Out& o = out_[c.cid];
     o.sqe = c;
-    o.at = arrival();
+    o.at = came_at_;
     const bool io = admitted_ && !admin_ && c.opcode != opcode::kFabrics;
     const bool sends = io ? c.opcode == opcode::kWrite || c.opcode == opcode::kZoneAppend
                           : c.opcode == opcode::kFabrics && c.fabrics_type() == fabrics::kConnect;
@@ -434,6 +437,8 @@
   bool waiting_ = false;
   double keep_alive_ = 0;
   double heard_at_ = target_.loop_.now();
+  double came_at_ = 0;          // of what is being taken
+  double backlog_since_ = -1;   // below 0: nothing waits unread
   Loop::Timer watchdog_ = 0;
   std::uint16_t controller_ = 0;
   std::uint32_t size_ = 1;
--- a/src/state.h
+++ b/src/state.h
@@ -58,6 +58,7 @@
   int first_node = -1;     // of the first dispatch that may have run
   int dispatches = 0;
   int out = 0;
+  std::uint64_t queued = 0;  // place in the order of holding
   bool used = false;
   bool held = false;
   bool over = false;
@@ -86,7 +87,7 @@
   double rate = 0;          // learned, units a second
   double served = 0;
   bool pressed = false;  // the bound was reached in this period
-  bool full = false;     // no more in this look at what is held
+  std::uint64_t full = 0;  // the last look at what is held in which no more went
   double bucket_time = 0;
   double bucket_units = 0;
   double bucket_replies = 0;
@@ -124,6 +125,17 @@
   double filled_at = 0;
 };
 
+// What is held for one shard, or as new objects, in order of holding; and bounds on what is in it.
+struct Waiting {
+  std::vector<int> ids;
+  double contract_at = 0;   // no one's is earlier
+  double cut_off_at = 0;    // the same
+  double least_units = 0;   // no one has fewer
+  double most_units = 0;    // or more
+  bool again = false;       // some have been out before
+  bool pressed = false;     // the last look met the bound
+};
+
 struct Past {
   int volume = 0;
   int profile = 0;
--- a/tests/loop/loop_test.cpp
+++ b/tests/loop/loop_test.cpp
@@ -82,6 +82,12 @@
   loop.turn(0);
   CHECK(loop.earliest_arrival() == doctest::Approx(5.01));
   CHECK(loop.turn_time() == doctest::Approx(7.01));
+  clock.advance(0.02);  // what a full receive buffer had kept back
+  loop.turn(0);
+  CHECK(loop.earliest_arrival() == doctest::Approx(5.01));
+  clock.advance(0.04);
+  loop.turn(0);
+  CHECK(loop.earliest_arrival() == doctest::Approx(7.07));
 }
 
 TEST_CASE("streams: a reader that reads nothing makes the sender's bytes wait, and nobody else's") {
