Rules in the scheduler: expressions give profile and key, turn transactions back, within shares

Need: [[match]] is too poor for what operators invent. Change: [[rule]] and [sets] in the configuration, heronworks expr check, eval, explain, reference and bench; client name and address reach the matcher; failed evaluations are counted and logged.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <cstdio>
 
+#include "cli/expr.h"
 #include "gateway/scheduler.h"
 
 using namespace heronworks;
@@ -77,9 +78,30 @@
   s->add_option("config", path, "configuration, TOML")->required()->check(CLI::ExistingFile);
   auto* k = app.add_subcommand("check", "read a configuration and say what it would do");
   k->add_option("config", path, "configuration, TOML")->required()->check(CLI::ExistingFile);
+  auto* e = app.add_subcommand("expr", "the expression language of rules");
+  e->require_subcommand(1);
+  std::string source;
+  std::string transaction;
+  auto* ec = e->add_subcommand("check", "the [[rule]] tables of a file: all faults, or cost and index of each");
+  ec->add_option("file", path, "configuration, TOML")->required()->check(CLI::ExistingFile);
+  auto* ee = e->add_subcommand("eval", "evaluate an expression on a transaction");
+  ee->add_option("expression", source)->required();
+  ee->add_option("--transaction", transaction, "JSON, or a file that holds it")->required();
+  auto* ex = e->add_subcommand("explain", "type, cost and program of an expression");
+  ex->add_option("expression", source)->required();
+  auto* er = e->add_subcommand("reference", "fields and functions, in Markdown");
+  e->add_subcommand("bench", "ns for one match");
   CLI11_PARSE(app, argc, argv);
   try {
-    result = s->parsed() ? serve(path) : check(path);
+    if (e->parsed()) {
+      result = ec->parsed()   ? cli::expr_check(path)
+               : ee->parsed() ? cli::expr_eval(source, transaction)
+               : ex->parsed() ? cli::expr_explain(source)
+               : er->parsed() ? cli::expr_reference()
+                              : cli::expr_bench();
+    } else {
+      result = s->parsed() ? serve(path) : check(path);
+    }
   } catch (const std::exception& error) {
     std::fprintf(stderr, "heronworks: %s\n", error.what());
     result = 1;
--- a/src/config/gateway_config.cpp
+++ b/src/config/gateway_config.cpp
@@ -204,8 +204,10 @@
       break;
     }
   }
+  auto expr_rules = read_expr_rules(root, c.profile_names, settings.profiles, problems);
   root.finish();
-  if (!problems.empty()) return std::nullopt;
+  if (!problems.empty() || !expr_rules) return std::nullopt;
+  c.expr = std::make_shared<const Rules>(std::move(*expr_rules));
   return c;
 }
 
--- a/src/config/gateway_config.h
+++ b/src/config/gateway_config.h
@@ -4,7 +4,7 @@
 
 #include <optional>
 
-#include "config/reader.h"
+#include "config/rules.h"
 #include "loop/fd.h"
 #include "settings.h"
 
@@ -42,7 +42,8 @@
   std::string saved_list;  // path; empty: none
   std::string host_name;
   std::vector<Volumes> volumes;
-  std::vector<Rule> rules;
+  std::vector<Rule> rules;   // [[match]]: the default where no expression's rule holds
+  std::shared_ptr<const Rules> expr;  // [[rule]]
 
   // A volume's blocks: zones of `zone_blocks`, zone z on shard z modulo `shards`.
   std::uint32_t block_bytes = 4096;
--- a/src/config/reader.cpp
+++ b/src/config/reader.cpp
@@ -149,6 +149,26 @@
   return out;
 }
 
+std::vector<std::string> Section::texts(const std::string& key) {
+  std::vector<std::string> out;
+  const toml::node* node = find(key);
+  if (!node) return out;
+  const auto* array = node->as_array();
+  if (!array) return complain(key, "must be a list of texts"), out;
+  for (const auto& item : *array) {
+    const auto value = item.value_exact<std::string>();
+    if (!value) return complain(key, "each must be a text"), out;
+    out.push_back(*value);
+  }
+  return out;
+}
+
+std::vector<std::string> Section::keys() const {
+  std::vector<std::string> out;
+  for (const auto& [key, node] : *table_) out.emplace_back(key.str());
+  return out;
+}
+
 Section Section::section(const std::string& key) {
   static const toml::table kEmpty;
   const toml::node* node = find(key);
--- a/src/config/reader.h
+++ b/src/config/reader.h
@@ -35,6 +35,8 @@
   bool flag(const std::string& key, bool absent);
   // The place of the word in `words`; -1 with a complaint if it is none of them or missing.
   int one_of(const std::string& key, const std::vector<std::string>& words, int absent);
+  std::vector<std::string> texts(const std::string& key);
+  std::vector<std::string> keys() const;
   std::vector<double> numbers(const std::string& key, double least, double most);
   // An empty section if the key is missing.
   Section section(const std::string& key);
--- /dev/null
+++ b/src/config/rules.cpp
@@ -0,0 +1,82 @@
+// Rules in a configuration: see rules.h.
+#include "config/rules.h"
+
+#include <fstream>
+
+namespace heronworks::config {
+namespace {
+
+void read_sets(Section& root, expr::NetworkSets& sets) {
+  Section all = root.section("sets");
+  for (const std::string& name : all.keys()) {
+    Section s = all.section(name);
+    std::vector<std::string> entries = s.texts("networks");
+    const std::string file = s.text("file", "");
+    if (!file.empty()) {  // an entry a line, # starts a remark
+      std::ifstream in(file);
+      if (!in) s.complain("file", "cannot be read");
+      std::string line;
+      while (std::getline(in, line)) {
+        line = line.substr(0, line.find('#'));
+        const auto from = line.find_first_not_of(" \t\r");
+        if (from == std::string::npos) continue;
+        entries.push_back(line.substr(from, line.find_last_not_of(" \t\r") - from + 1));
+      }
+    }
+    s.finish();
+    std::string reason;
+    if (!expr::Networks::make(entries, sets[name], reason)) s.complain("networks", reason);
+  }
+}
+
+}  // namespace
+
+std::optional<Rules> read_expr_rules(Section& root, const std::vector<std::string>& profile_names,
+                                     const std::vector<Profile>& profiles, Problems& problems) {
+  const std::size_t before = problems.size();
+  Rules rules;
+  read_sets(root, *rules.networks);
+  std::vector<Section> tables = root.list("rule");
+  std::vector<expr::RuleSource> sources;
+  for (Section& s : tables) {
+    expr::RuleSource r;
+    r.name = s.text("name", "rule " + std::to_string(sources.size() + 1));
+    r.when = s.need_text("when");
+    r.key = s.text("key", "");
+    if (s.has("profile")) r.profile = s.one_of("profile", profile_names, -1);
+    r.turn_back = s.text("turn_back", "");
+    r.most_share = s.number("most_share", 1, 0, 1);
+    Section labels = s.section("labels");
+    for (const std::string& name : labels.keys()) r.labels.emplace_back(name, labels.text(name, ""));
+    s.finish();
+    sources.push_back(std::move(r));
+  }
+  std::vector<bool> ordered;
+  for (const Profile& p : profiles) ordered.push_back(p.in_order);
+  std::vector<expr::RuleFault> faults;
+  auto set = expr::RuleSet::make(sources, *rules.networks, expr::Limits{}, {}, ordered, faults);
+  for (const expr::RuleFault& f : faults) {
+    const std::string text = f.field == "when" ? sources[f.rule].when : sources[f.rule].key;
+    if (f.field.empty()) root.complain("rule", f.fault.text);
+    else tables[f.rule].complain(f.field, expr::shown(text, f.fault));
+  }
+  if (problems.size() > before || !set) return std::nullopt;
+  rules.set = std::move(*set);
+  return rules;
+}
+
+std::optional<Rules> read_rules_file(const std::string& path, Problems& problems) {
+  const toml::table table = load(path, problems);
+  if (!problems.empty()) return std::nullopt;
+  Section root(table, "", path, problems);
+  std::vector<std::string> names;
+  std::vector<Profile> profiles;
+  for (Section& s : root.list("profile")) {
+    names.push_back(s.need_text("name"));
+    profiles.emplace_back();
+    profiles.back().in_order = s.flag("in_order", false);
+  }
+  return read_expr_rules(root, names, profiles, problems);
+}
+
+}  // namespace heronworks::config
--- a/src/gateway/match.cpp
+++ b/src/gateway/match.cpp
@@ -2,10 +2,21 @@
 #include "gateway/match.h"
 
 #include <algorithm>
+#include <ctime>
 
 namespace heronworks::gateway {
+namespace {
 
-Matcher::Matcher(const config::GatewayConfig& config) : config_(config), sorted_(config.volumes) {
+std::vector<double> shares(const expr::RuleSet& rules) {
+  std::vector<double> out;
+  for (std::size_t i = 0; i < rules.size(); ++i) out.push_back(rules.rule(static_cast<int>(i)).most_share);
+  return out;
+}
+
+}  // namespace
+
+Matcher::Matcher(const config::GatewayConfig& config)
+    : config_(config), sorted_(config.volumes), gate_(shares(config.expr->set)) {
   std::sort(sorted_.begin(), sorted_.end(), [](auto& a, auto& b) { return a.first < b.first; });
   int index = 0;
   for (const auto& v : sorted_) {
@@ -22,7 +33,8 @@
   return nsid <= after->last ? &*after : nullptr;
 }
 
-std::optional<Transaction> Matcher::match(const nvme::Sqe& sqe, nvme::Status& refused) const {
+std::optional<Matched> Matcher::match(const nvme::Sqe& sqe, const ClientFacts& client, double now, double wall,
+                                      nvme::Status& refused) {
   const auto* volume = find(sqe.nsid);
   if (!volume) return refused = nvme::status::kInvalidNamespace, std::nullopt;
   const bool append = sqe.opcode == nvme::opcode::kZoneAppend;
@@ -37,7 +49,8 @@
   const std::uint32_t units = (blocks + config_.unit_blocks - 1) / config_.unit_blocks;
   if (units > config_.settings.largest_units) return refused = nvme::status::kInvalidField, std::nullopt;
 
-  Transaction t;
+  Matched m;
+  Transaction& t = m.transaction;
   const auto operation = append ? config::Operation::kAppend
                          : sqe.opcode == nvme::opcode::kWrite ? config::Operation::kWrite
                                                               : config::Operation::kRead;
@@ -62,7 +75,75 @@
   // The key of a new object is its client's label; without one it has none.
   t.has_key = !append || sqe.label() != 0;
   t.key = append ? sqe.label() : static_cast<std::uint64_t>(sqe.nsid) << 40 | lba / config_.key_blocks;
-  return t;
+  if (rules().size() > 0) by_rules(sqe, client, now, wall, m);
+  return m;
+}
+
+void Matcher::by_rules(const nvme::Sqe& sqe, const ClientFacts& client, double now, double wall, Matched& m) {
+  using expr::FieldId;
+  using expr::Value;
+  expr::Record record;
+  const auto set = [&](FieldId field, Value v) { record.values[static_cast<std::size_t>(field)] = v; };
+  const bool append = sqe.opcode == nvme::opcode::kZoneAppend;
+  const bool write = sqe.opcode == nvme::opcode::kWrite;
+  set(FieldId::kVolume, Value(std::uint64_t{sqe.nsid}));
+  set(FieldId::kPlan, Value(std::string_view(config_.plan_names[static_cast<std::size_t>(m.transaction.plan)])));
+  set(FieldId::kOperation, Value(std::string_view(append ? "append" : write ? "write" : "read")));
+  set(FieldId::kOpcode, Value(std::uint64_t{sqe.opcode}));
+  set(FieldId::kLba, Value(append ? std::uint64_t{0} : sqe.slba()));
+  set(FieldId::kBlocks, Value(std::uint64_t{sqe.blocks()}));
+  set(FieldId::kLength, Value(std::uint64_t{sqe.blocks()} * config_.block_bytes));
+  set(FieldId::kLabel, Value(sqe.label()));
+  set(FieldId::kClientName, Value(std::string_view(client.name)));
+  set(FieldId::kClientAddress, Value(client.address));
+  set(FieldId::kTry, Value(static_cast<std::uint64_t>(sqe.client_try())));
+  local_time(wall, record);
+
+  gate_.landed(now);
+  int from = 0;
+  while (true) {
+    const auto found = rules().match(machine_, record, from);
+    m.failures += found.failures;
+    if (found.failed >= 0) m.failed = found.failed;
+    if (found.rule < 0) return;
+    if (gate_.passes(now, found.rule)) {
+      m.rule = found.rule;
+      break;
+    }
+    from = found.rule + 1;
+  }
+  const expr::Rule& rule = rules().rule(m.rule);
+  m.turn_back = !rule.turn_back.empty();
+  if (rule.profile >= 0) m.transaction.profile = rule.profile;
+  if (!rule.key) return;
+  Value key;
+  if (machine_.run(*rule.key, record, key) == expr::Failure::kNone) {
+    m.transaction.has_key = true;
+    m.transaction.key = key.u;
+  } else {
+    ++m.failures;
+    m.failed = m.rule;
+  }
+}
+
+// The calendar is asked once a minute: zones change on whole minutes.
+void Matcher::local_time(double wall, expr::Record& record) {
+  const auto minute = static_cast<long>(wall / 60);
+  if (minute != minute_) {
+    minute_ = minute;
+    const auto seconds = static_cast<std::time_t>(wall);
+    std::tm local{};
+    localtime_r(&seconds, &local);
+    minute_of_day_ = local.tm_hour * 60 + local.tm_min;
+    weekday_ = local.tm_wday == 0 ? 7 : local.tm_wday;
+  }
+  const auto set = [&](expr::FieldId field, std::int64_t v) {
+    record.values[static_cast<std::size_t>(field)] = expr::Value(v);
+  };
+  set(expr::FieldId::kHour, minute_of_day_ / 60);
+  set(expr::FieldId::kWeekday, weekday_);
+  set(expr::FieldId::kTimeOfDay,
+      minute_of_day_ * 60000000000 + static_cast<std::int64_t>((wall - static_cast<double>(minute) * 60) * 1e9));
 }
 
 }  // namespace heronworks::gateway
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -141,7 +141,7 @@
     return end(matcher_.knows(c.sqe.nsid) ? nvme::status::kOk : nvme::status::kInvalidNamespace, counts_.refused);
   }
   nvme::Status refused;
-  const auto matched = matcher_.match(c.sqe, refused);
+  const auto matched = matcher_.match(c.sqe, facts_[c.connection], now(), now() + wall_offset_, refused);
   if (!matched) return end(refused, counts_.refused);
   const bool reads = c.sqe.opcode == nvme::opcode::kRead;
   if (c.sqe.sgl_length != c.sqe.blocks() * config_.block_bytes) return end(nvme::status::kInvalidField, counts_.refused);
@@ -151,7 +151,22 @@
       bytes_ + c.data.size() > config_.most_bytes)
     return end(busy, counts_.at_door);
 
-  Transaction t = *matched;
+  if (matched->failures > 0) {
+    counts_.rule_errors += static_cast<std::uint64_t>(matched->failures);
+    log_.warn(loop_.now(), "rule.error", {{"rule", matcher_.rules().rule(matched->failed).name}, {"volume", c.sqe.nsid}});
+  }
+  if (matched->rule >= 0) {
+    const expr::Rule& rule = matcher_.rules().rule(matched->rule);
+    if (!rule.labels.empty() || matched->turn_back) {
+      nlohmann::json fields{{"rule", rule.name}, {"volume", c.sqe.nsid}, {"label", c.sqe.label()}};
+      for (const auto& [name, value] : rule.labels) fields["labels"][name] = value;
+      if (matched->turn_back) fields["reason"] = rule.turn_back;
+      log_.debug(loop_.now(), matched->turn_back ? "rule.turned_back" : "rule.marked", std::move(fields));
+    }
+    busy.crd = 3;
+    if (matched->turn_back) return end(busy, counts_.by_rule);
+  }
+  Transaction t = matched->transaction;
   // The client's time has been running since the command came to this machine, which may be long ago if this
   // scheduler stood still; the answer needs some of it for the way back.
   const double told = c.sqe.time_left();
@@ -181,7 +196,16 @@
   control_->landed(now(), id, t);
 }
 
+void Scheduler::admitted(nvme::ConnectionId connection, const std::string& host, bool admin,
+                         const heronworks::Address& peer) {
+  if (admin) return;
+  ClientFacts& f = facts_[connection];
+  f.name = host;
+  f.address = expr::parse_address(peer.host).value_or(expr::Address{});
+}
+
 void Scheduler::closed(nvme::ConnectionId connection) {
+  facts_.erase(connection);
   const auto found = by_client_.find(connection);
   if (found == by_client_.end()) return;
   const std::set<int> open = std::move(found->second);
@@ -358,6 +382,8 @@
              {"abandoned", since(&Counts::abandoned)},
              {"dispatched", since(&Counts::dispatched)},
              {"at_door", since(&Counts::at_door)},
+             {"by_rule", since(&Counts::by_rule)},
+             {"rule_errors", since(&Counts::rule_errors)},
              {"open", open()},
              {"clients", target_->connections()}});
   reported_ = counts_;
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -24,6 +24,8 @@
   std::uint64_t abandoned = 0;
   std::uint64_t dispatched = 0;
   std::uint64_t at_door = 0;  // turned back before the module saw them: draining, or a bound was reached
+  std::uint64_t by_rule = 0;  // turned back at the door by a rule's word
+  std::uint64_t rule_errors = 0;  // evaluations that failed: the rule did not match
   std::uint64_t refused = 0;  // with an error status: not a command that a volume takes
 };
 
@@ -53,6 +55,7 @@
   void command(nvme::Command&& command) override;
   void log_page(nvme::ConnectionId connection, std::uint16_t cid, std::uint8_t page, std::uint64_t offset,
                 std::uint32_t length) override;
+  void admitted(nvme::ConnectionId connection, const std::string& host, bool admin, const heronworks::Address& peer) override;
   void closed(nvme::ConnectionId connection) override;
 
  private:
@@ -90,7 +93,7 @@
   Loop& loop_;
   const config::GatewayConfig& config_;
   Log& log_;
-  const Matcher matcher_;
+  Matcher matcher_;
   const double wall_offset_;  // fixed at the start, so that a process keeps the time at which it came up
   std::unique_ptr<nvme::Target> target_;
   std::unique_ptr<ListWatch> list_;
@@ -98,6 +101,7 @@
   std::vector<Slot> slots_;           // by transaction; as many as were ever open at once
   std::vector<int> free_;
   std::unordered_map<nvme::ConnectionId, std::set<int>> by_client_;  // open ones; emptied with them
+  std::unordered_map<nvme::ConnectionId, ClientFacts> facts_;        // of I/O connections; emptied as they close
   std::size_t bytes_ = 0;             // of writes held
   std::vector<NodeEntry> nodes_;      // as many as were listed since the start
   std::map<std::string, int> node_numbers_;
--- a/src/lab/list.cpp
+++ b/src/lab/list.cpp
@@ -50,7 +50,7 @@
   target_->complete(c.connection, c.sqe.cid, nvme::status::kInvalidOpcode);
 }
 
-void StandInList::admitted(nvme::ConnectionId connection, const std::string& host, bool) {
+void StandInList::admitted(nvme::ConnectionId connection, const std::string& host, bool, const Address&) {
   if (down()) return target_->reset(connection);
   const auto dot = host.rfind('.');
   via_[connection] = dot == std::string::npos ? -1 : std::atoi(host.c_str() + dot + 1);
--- a/src/lab/list.h
+++ b/src/lab/list.h
@@ -19,7 +19,8 @@
   void command(nvme::Command&& command) override;
   void log_page(nvme::ConnectionId connection, std::uint16_t cid, std::uint8_t page, std::uint64_t offset,
                 std::uint32_t length) override;
-  void admitted(nvme::ConnectionId connection, const std::string& host, bool admin) override;
+  void admitted(nvme::ConnectionId connection, const std::string& host, bool admin,
+                const Address& peer) override;
   void closed(nvme::ConnectionId connection) override { via_.erase(connection); }
 
  private:
--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -108,7 +108,7 @@
   target_->complete(connection, cid, nvme::status::kInvalidLogPage);
 }
 
-void StandInNode::admitted(nvme::ConnectionId connection, const std::string& host, bool admin) {
+void StandInNode::admitted(nvme::ConnectionId connection, const std::string& host, bool admin, const Address&) {
   if (!admin) via_[connection] = number_at_end(host);
 }
 
--- a/src/loop/fd.cpp
+++ b/src/loop/fd.cpp
@@ -38,6 +38,21 @@
   return std::nullopt;
 }
 
+Address address_by(int (*ask)(int, sockaddr*, socklen_t*), int fd) {
+  sockaddr_storage s{};
+  socklen_t length = sizeof s;
+  ask(fd, reinterpret_cast<sockaddr*>(&s), &length);
+  char text[INET6_ADDRSTRLEN] = "";
+  if (s.ss_family == AF_INET) {
+    const auto* v4 = reinterpret_cast<const sockaddr_in*>(&s);
+    inet_ntop(AF_INET, &v4->sin_addr, text, sizeof text);
+    return {text, ntohs(v4->sin_port)};
+  }
+  const auto* v6 = reinterpret_cast<const sockaddr_in6*>(&s);
+  inet_ntop(AF_INET6, &v6->sin6_addr, text, sizeof text);
+  return {text, ntohs(v6->sin6_port)};
+}
+
 void no_delay(int fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -98,20 +113,8 @@
   return fd;
 }
 
-Address local_address(int fd) {
-  sockaddr_storage s{};
-  socklen_t length = sizeof s;
-  getsockname(fd, reinterpret_cast<sockaddr*>(&s), &length);
-  char text[INET6_ADDRSTRLEN] = "";
-  if (s.ss_family == AF_INET) {
-    const auto* v4 = reinterpret_cast<const sockaddr_in*>(&s);
-    inet_ntop(AF_INET, &v4->sin_addr, text, sizeof text);
-    return {text, ntohs(v4->sin_port)};
-  }
-  const auto* v6 = reinterpret_cast<const sockaddr_in6*>(&s);
-  inet_ntop(AF_INET6, &v6->sin6_addr, text, sizeof text);
-  return {text, ntohs(v6->sin6_port)};
-}
+Address local_address(int fd) { return address_by(::getsockname, fd); }
+Address peer_address(int fd) { return address_by(::getpeername, fd); }
 
 int socket_error(int fd) {
   int error = 0;
--- a/src/loop/fd.h
+++ b/src/loop/fd.h
@@ -46,6 +46,7 @@
 Fd accept_from(int listener);
 Fd connect_to(const Address& address);  // in progress; writable once it is up
 Address local_address(int fd);
+Address peer_address(int fd);
 int socket_error(int fd);  // 0 once connected
 
 }  // namespace heronworks
--- a/src/nvme/target.cpp
+++ b/src/nvme/target.cpp
@@ -21,6 +21,7 @@
   TargetConnection(Target& target, ConnectionId id, Fd fd)
       : target_(target),
         id_(id),
+        peer_(peer_address(fd.get())),
         framing_(End::kController, kMostData + target.options_.in_capsule + 1024),
         stream_(target.loop_, std::move(fd), *this) {
     if (target.options_.arrival == Arrival::kMarked) stream_.mark_arrivals();
@@ -362,7 +363,7 @@
     if (keep_alive_ > 0) {
       watchdog_ = target_.loop_.at(target_.loop_.now() + keep_alive_, [this] { watch(); });
     }
-    target_.backend_.admitted(id_, get_text(d.host), admin_);
+    target_.backend_.admitted(id_, get_text(d.host), admin_, peer_);
     complete(cid, status::kOk, controller_, {});
   }
 
@@ -426,6 +427,7 @@
 
   Target& target_;
   const ConnectionId id_;
+  const Address peer_;
   Framing framing_;
   Stream stream_;
   Digests digests_;
--- a/src/nvme/target.h
+++ b/src/nvme/target.h
@@ -45,7 +45,7 @@
   // Asked for a log page; completed like a command.
   virtual void log_page(ConnectionId connection, std::uint16_t cid, std::uint8_t page, std::uint64_t offset,
                         std::uint32_t length) = 0;
-  virtual void admitted(ConnectionId, const std::string& /*host name*/, bool /*admin*/) {}
+  virtual void admitted(ConnectionId, const std::string& /*host name*/, bool /*admin*/, const Address& /*peer*/) {}
   virtual void closed(ConnectionId connection) = 0;
 };
 
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -353,3 +353,54 @@
   REQUIRE(r.until([&] { return c.answers.size() == 2; }));
   CHECK(c.status(2) == st::kOk);
 }
+
+TEST_CASE("rules class, key and turn back; an evaluation that fails is no match; a share bounds a rule") {
+  Rig r(R"toml(
+[sets.office]
+networks = ["127.0.0.0/8"]
+[[rule]]
+name = "broken"
+when = "lba / (lba - 5) == 100"
+profile = "append"
+[[rule]]
+name = "closed"
+when = "client.address in $office && lba == 5"
+turn_back = "the prize grid is closed"
+[[rule]]
+name = "one at a time"
+when = "operation == 'read' && lba in 10..11"
+profile = "write"
+key = "hash(volume)"
+[[rule]]
+name = "rare"
+when = "blocks == 2"
+turn_back = "too wide"
+most_share = 0.0
+)toml");
+  r.start();
+  auto& c = r.client();
+  c.read(1, 5);
+  REQUIRE(r.until([&] { return c.answers.size() == 1; }));
+  CHECK(c.status(1) == st::kCommandInterrupted);
+  CHECK(c.status(1).crd == 3);
+  CHECK(r.scheduler->counts().by_rule == 1);
+  CHECK(r.scheduler->counts().rule_errors == 1);  // division by zero, at this block only
+  CHECK(r.nodes[0]->came.empty());
+  // Two reads of one computed key, in a profile that keeps order: one at a time.
+  r.nodes[0]->answers.reset();
+  c.read(2, 10);
+  c.read(3, 11);
+  REQUIRE(r.until([&] { return r.nodes[0]->came.size() == 1; }));
+  r.run(0.1);
+  CHECK(r.nodes[0]->came.size() == 1);
+  r.nodes[0]->answer(0);
+  REQUIRE(r.until([&] { return r.nodes[0]->came.size() == 2; }));
+  CHECK(r.nodes[0]->came[1].sqe.slba() == 11);
+  r.nodes[0]->answers = st::kOk;
+  r.nodes[0]->answer(1);
+  // Five in a window are free, then the share holds the rule back.
+  for (std::uint64_t i = 10; i < 20; ++i) c.read(i, 20 + 2 * (i - 10), 2);
+  REQUIRE(r.until([&] { return c.answers.size() == 13; }));
+  CHECK(r.scheduler->counts().by_rule == 6);
+  CHECK(c.count(st::kOk) == 7);
+}
