--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -158,6 +158,10 @@
   d.lead_part = c.number("lead_part", 0.6, 0, 1);
   c.finish();
 
+  config::Section r = root.section("rules");
+  d.rules = r.text("text", "");
+  r.finish();
+
   config::read_profiles(root, d.settings, d.profile_names);
   config::read_plans(root, d.settings, d.plan_names);
   config::read_rules(root, d.settings);
@@ -299,6 +303,7 @@
       << day.plan_names[static_cast<std::size_t>(volumes[i].plan)] << "\"\nhosts = " << volumes[i].schedulers.size()
       << "\n";
   }
+  t << day.rules;
   return t.str();
 }
 
--- a/src/lab/day.h
+++ b/src/lab/day.h
@@ -92,6 +92,8 @@
   double backoff = 0.05;
   double lead_part = 0.6;    // of a volume's traffic that its leading scheduler gets
 
+  std::string rules;         // [[rule]] and [sets] for the schedulers, TOML as written
+
   std::vector<Act> acts;     // in order of time
 
   int volumes() const;
