--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PACKAGES := $(shell grep -v '^\#' packages.txt)
 DAY ?= examples/days/everything.toml
 
-.PHONY: demo test build bench packages
+.PHONY: demo test build bench fuzz packages
 
 packages:
 	@missing=$$(for p in $(PACKAGES); do dpkg -s $$p >/dev/null 2>&1 || echo $$p; done); \
@@ -19,3 +19,6 @@
 
 bench: build
 	bench/run.sh build/product
+
+fuzz: packages
+	tests/fuzz/run.sh
--- a/src/config/reader.cpp
+++ b/src/config/reader.cpp
@@ -1,6 +1,8 @@
 // TOML with places: see reader.h.
 #include "config/reader.h"
 
+#include "expr/nearest.h"
+
 #include <algorithm>
 #include <cmath>
 #include <sstream>
@@ -14,20 +16,6 @@
   return out.str();
 }
 
-std::size_t edits(const std::string& a, const std::string& b) {
-  std::vector<std::size_t> row(b.size() + 1);
-  for (std::size_t j = 0; j <= b.size(); ++j) row[j] = j;
-  for (std::size_t i = 1; i <= a.size(); ++i) {
-    std::size_t diagonal = std::exchange(row[0], i);
-    for (std::size_t j = 1; j <= b.size(); ++j) {
-      const std::size_t change = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
-      diagonal = row[j];
-      row[j] = std::min({row[j] + 1, row[j - 1] + 1, change});
-    }
-  }
-  return row[b.size()];
-}
-
 }  // namespace
 
 std::string Problem::shown() const {
@@ -35,18 +23,6 @@
          (field.empty() ? "" : field + ": ") + text;
 }
 
-std::string nearest(const std::string& word, const std::vector<std::string>& words) {
-  std::string best;
-  std::size_t least = std::max<std::size_t>(2, word.size() / 3) + 1;
-  for (const std::string& w : words) {
-    if (const auto n = edits(word, w); n < least) {
-      least = n;
-      best = w;
-    }
-  }
-  return best;
-}
-
 void Section::complain(const std::string& key, const std::string& text) const {
   const toml::node* node = key.empty() ? nullptr : table_->get(key);
   const auto& place = node ? node->source() : table_->source();
@@ -127,7 +103,7 @@
   }
   std::string all;
   for (const std::string& w : words) all += (all.empty() ? "" : ", ") + w;
-  const std::string near = value ? nearest(*value, words) : "";
+  const std::string near = value ? expr::nearest(*value, words) : "";
   complain(key, "must be one of " + all + (near.empty() ? "" : "; did you mean " + near + "?"));
   return absent;
 }
@@ -196,7 +172,7 @@
   for (const auto& [key, node] : *table_) {
     const std::string name(key.str());
     if (known_.contains(name)) continue;
-    const std::string near = nearest(name, words);
+    const std::string near = expr::nearest(name, words);
     problems_->push_back({file_, key.source().begin.line, key.source().begin.column, field(name),
                           "unknown" + (near.empty() ? std::string() : "; did you mean " + near + "?")});
   }
--- a/src/config/reader.h
+++ b/src/config/reader.h
@@ -57,9 +57,6 @@
   std::set<std::string> known_;
 };
 
-// The nearest of `words` by edits, if it is near enough to be what was meant; else empty.
-std::string nearest(const std::string& word, const std::vector<std::string>& words);
-
 // The table of a file; problems where it cannot be read or is no TOML.
 toml::table load(const std::string& path, Problems& problems);
 
--- a/src/expr/compile.cpp
+++ b/src/expr/compile.cpp
@@ -196,14 +196,6 @@
         t.type = a.type;
         return;
       case Op::kMultiply:
-        if ((a.type == kDuration && b.type == kInt) || (a.type == kSize && b.type == kUint)) return void(t.type = a.type);
-        if (a.type == kSize && b.type == kInt) {
-          adapt(b, kUint);
-          if (b.type == kUint) return void(t.type = kSize);
-        }
-        if (!same || (!whole(a.type) && a.type != kDouble)) return mistake(t);
-        t.type = a.type;
-        return;
       case Op::kDivide:
         if ((a.type == kDuration && b.type == kInt) || (a.type == kSize && b.type == kUint)) return void(t.type = a.type);
         if (a.type == kSize && b.type == kInt) {
--- a/src/expr/schema.cpp
+++ b/src/expr/schema.cpp
@@ -1,8 +1,7 @@
 // Tables of fields and functions: see schema.h.
 #include "expr/schema.h"
 
-#include <algorithm>
-#include <utility>
+#include "expr/nearest.h"
 
 namespace heronworks::expr {
 namespace {
@@ -49,20 +48,6 @@
 
 constexpr std::string_view kWords[] = {"true", "false", "in", "let", "not"};
 
-std::size_t edits(std::string_view a, std::string_view b) {
-  std::vector<std::size_t> row(b.size() + 1);
-  for (std::size_t j = 0; j <= b.size(); ++j) row[j] = j;
-  for (std::size_t i = 1; i <= a.size(); ++i) {
-    std::size_t diagonal = std::exchange(row[0], i);
-    for (std::size_t j = 1; j <= b.size(); ++j) {
-      const std::size_t change = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
-      diagonal = row[j];
-      row[j] = std::min({row[j] + 1, row[j - 1] + 1, change});
-    }
-  }
-  return row[b.size()];
-}
-
 }  // namespace
 
 std::span<const Field> fields() { return kFieldTable; }
@@ -84,19 +69,10 @@
 }
 
 std::string nearest_name(std::string_view name) {
-  if (name.size() > 64) return "";
-  std::string best;
-  std::size_t least = std::max<std::size_t>(2, name.size() / 3) + 1;
-  const auto look = [&](std::string_view word) {
-    if (const auto n = edits(name, word); n < least) {
-      least = n;
-      best = word;
-    }
-  };
-  for (const auto w : kWords) look(w);
-  for (const Field& f : kFieldTable) look(f.name);
-  for (const Function& f : kFunctionTable) look(f.name);
-  return best;
+  std::vector<std::string> words(std::begin(kWords), std::end(kWords));
+  for (const Field& f : kFieldTable) words.emplace_back(f.name);
+  for (const Function& f : kFunctionTable) words.emplace_back(f.name);
+  return nearest(name, words);
 }
 
 std::string reference() {
--- /dev/null
+++ b/tests/fuzz/fuzz.cpp
@@ -0,0 +1,44 @@
+// libFuzzer targets, out of CI: PDUs at both ends, and expressions. `make fuzz` runs each for a minute.
+#include <cstddef>
+#include <cstdint>
+
+#ifdef FUZZ_PDU
+#include "nvme/framing.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  using namespace heronworks::nvme;
+  if (size < 1) return 0;
+  Framing f((data[0] & 1) != 0 ? End::kHost : End::kController, 1 << 16);
+  f.set_digests({(data[0] & 2) != 0, (data[0] & 4) != 0});
+  View rest(data + 1, size - 1);
+  while (true) {
+    std::size_t used = 0;
+    std::optional<FatalError> error;
+    const auto pdu = f.next(rest, used, error);
+    if (!pdu || used == 0 || used > rest.size()) return 0;
+    if (pdu->data.size() > used || pdu->head.size() > used) __builtin_trap();
+    rest = rest.subspan(used);
+  }
+}
+#else
+#include "expr/program.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  using namespace heronworks::expr;
+  std::vector<Fault> faults;
+  const auto p = compile(std::string_view(reinterpret_cast<const char*>(data), size), {}, Limits{}, std::nullopt, faults);
+  if (!p) {
+    if (faults.empty()) __builtin_trap();
+    return 0;
+  }
+  Record record;
+  for (std::size_t i = 0; i < kFields; ++i) {
+    if (fields()[i].type == kString) record.values[i] = Value(std::string_view("text"));
+  }
+  Machine m;
+  Value v;
+  m.run(*p, record, v);
+  if (m.spent() > p->cost) __builtin_trap();
+  return 0;
+}
+#endif
