Usage ledger: entries before answers, sealed periods, reconciliation, statements, export

An answer waits for its entry, within its contract time. Desk log for corrections and exports; reconciliation by sorted runs in bounded memory; statements as text and HTML; export by intent, offer, stored, commit; heronworks ledger with eight verbs.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 
 #include "cli/expr.h"
+#include "cli/ledger.h"
 #include "gateway/scheduler.h"
 
 using namespace heronworks;
@@ -50,6 +51,7 @@
 int serve(const std::string& path) {
   const auto c = read(path);
   if (!c) return 2;
+  std::signal(SIGXFSZ, SIG_IGN);  // a file that may not grow is a failed write like any other
   const MonotonicClock clock;
   Loop loop(clock);
   gateway::Log log(c->log_file, c->log_level, c->log_lines);
@@ -91,9 +93,13 @@
   ex->add_option("expression", source)->required();
   auto* er = e->add_subcommand("reference", "fields and functions, in Markdown");
   e->add_subcommand("bench", "ns for one match");
+  std::function<int()> ledger;
+  cli::add_ledger_verbs(app, ledger);
   CLI11_PARSE(app, argc, argv);
   try {
-    if (e->parsed()) {
+    if (ledger) {
+      result = ledger();
+    } else if (e->parsed()) {
       result = ec->parsed()   ? cli::expr_check(path)
                : ee->parsed() ? cli::expr_eval(source, transaction)
                : ex->parsed() ? cli::expr_explain(source)
--- a/src/config/gateway_config.cpp
+++ b/src/config/gateway_config.cpp
@@ -166,6 +166,15 @@
   c.most_bytes = static_cast<std::size_t>(limits.integer("bytes", 256 << 20, 1 << 16, INT64_MAX));
   limits.finish();
 
+  Section ledger = root.section("ledger");
+  c.ledger.folder = ledger.text("folder", "");
+  c.ledger.period = ledger.number("period", 3600, 1, 366 * 86400.0);
+  c.ledger.remembers = ledger.number("remembers", 0, 0, 86400);
+  c.ledger.identities = static_cast<std::size_t>(ledger.integer("identities", 200000, 1000, 10000000));
+  c.ledger.waits = ledger.flag("waits", true);
+  c.ledger.group = static_cast<std::size_t>(ledger.integer("group", 4096, 1, 65536));
+  ledger.finish();
+
   Section log = root.section("log");
   c.log_file = log.text("file", "");
   c.log_level = std::vector<std::string>{"debug", "info", "warn", "error"}[static_cast<std::size_t>(
@@ -184,6 +193,7 @@
     range.last = static_cast<std::uint32_t>(v.integer("last", range.first, 1, 0xfffffffe));
     range.plan = v.one_of("plan", c.plan_names, -1);
     range.hosts = static_cast<int>(v.integer("hosts", settings.schedulers, 1, settings.schedulers));
+    range.tenant = v.text("tenant", "none");
     if (range.last < range.first) v.complain("last", "must not be under 'first'");
     for (const Volumes& o : c.volumes) {
       if (range.first <= o.last && o.first <= range.last) {
@@ -193,6 +203,10 @@
     v.finish();
     c.volumes.push_back(range);
   }
+  // A client may come again as late as this: its cut-off, and a repeat window.
+  for (const Profile& p : settings.profiles) {
+    if (c.ledger.remembers < 2 * (p.cut_off + p.label_window)) c.ledger.remembers = 2 * (p.cut_off + p.label_window);
+  }
   if (c.volumes.empty()) root.complain("", "at least one [[volumes]] is needed");
   for (std::size_t i = 0; i < settings.plans.size(); ++i) {
     const Plan& p = settings.plans[i];
--- a/src/config/gateway_config.h
+++ b/src/config/gateway_config.h
@@ -28,6 +28,17 @@
   std::uint32_t last = 0;
   int plan = 0;
   int hosts = 1;
+  std::string tenant;  // who pays; that of the whole range
+};
+
+// [ledger]: none where `folder` is empty.
+struct LedgerConfig {
+  std::string folder;
+  double period = 3600;            // s
+  double remembers = 0;            // s for which a client's identity of a transaction is known
+  std::size_t identities = 200000;
+  bool waits = true;               // answers wait for their entries
+  std::size_t group = 4096;        // entries that one sync covers, at most
 };
 
 struct GatewayConfig {
@@ -53,6 +64,8 @@
   std::uint32_t unit_blocks = 1;
   std::uint32_t key_blocks = 1;
 
+  LedgerConfig ledger;
+
   int most_connections = 0;
   int queue_size = 0;
   int most_open = 0;              // transactions
--- a/src/gateway/match.h
+++ b/src/gateway/match.h
@@ -31,6 +31,7 @@
 
   // Whether there is such a volume.
   bool knows(std::uint32_t nsid) const { return find(nsid) != nullptr; }
+  const std::string& tenant_of(std::uint32_t nsid) const { return find(nsid)->tenant; }
 
   // An error status where the command is not one that a volume takes. `now` is the loop's, `wall` seconds since 1970.
   std::optional<Matched> match(const nvme::Sqe& sqe, const ClientFacts& client, double now, double wall,
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -1,6 +1,8 @@
 // One running scheduler: see scheduler.h.
 #include "gateway/scheduler.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <cmath>
 #include <stdexcept>
@@ -52,6 +54,20 @@
       log_.warn(loop.now(), "list.not_loaded", {{"reason", reason}});
     }
   }
+  if (!config.ledger.folder.empty()) {
+    ledger::KeeperOptions o;
+    o.folder = config.ledger.folder;
+    o.book = {config.ledger.period, config.ledger.remembers, config.ledger.identities};
+    // Room for the entries of all that may be open, twice, as the door closes at half.
+    o.writer.most_records = std::max<std::size_t>(65536, 4 * static_cast<std::size_t>(config.most_open));
+    o.writer.most_bytes = o.writer.most_records * 1024;
+    o.writer.group = config.ledger.group;
+    o.scheduler = static_cast<std::uint32_t>(config.settings.index);
+    o.new_ledger = own_label_ ^ static_cast<std::uint64_t>(::getpid()) << 32;
+    o.waits = config.ledger.waits;
+    keeper_ = std::make_unique<ledger::Keeper>(loop, files_, o, *this);
+    log_.info(loop_.now(), "ledger.opened", {{"entries", keeper_->book().entries()}, {"period", keeper_->book().period()}});
+  }
   target_ = std::make_unique<nvme::Target>(loop, std::move(listener), target_options(config), *this);
   report_ = loop_.at(loop_.now() + kReportEvery, [this] { report(); });
   beat();
@@ -70,6 +86,7 @@
   loop_.cancel(wake_);
   loop_.cancel(report_);
   loop_.cancel(beat_);
+  loop_.cancel(waiting_timer_);
 }
 
 void Scheduler::drain(std::function<void()> done) {
@@ -82,7 +99,7 @@
 // All answered, and their bytes with the system.
 void Scheduler::check_drained() {
   if (!drained_) return;
-  bool waiting = target_->unsent() > 0;
+  bool waiting = target_->unsent() > 0 || !waiting_.empty();
   for (const Slot& s : slots_) waiting = waiting || (s.used && !s.answered);
   if (waiting) {
     loop_.at(loop_.now() + 0.01, [this] { check_drained(); });
@@ -167,6 +184,8 @@
       bytes_ + c.data.size() > config_.most_bytes)
     return end(busy, counts_.at_door);
 
+  if (keeper_ && !keeper_->takes()) return end(busy, counts_.at_ledger);
+
   if (matched->failures > 0) {
     counts_.rule_errors += static_cast<std::uint64_t>(matched->failures);
     log_.warn(loop_.now(), "rule.error", {{"rule", matcher_.rules().rule(matched->failed).name}, {"volume", c.sqe.nsid}});
@@ -204,6 +223,9 @@
   s.sqe = c.sqe;
   s.profile = t.profile;
   s.shard = t.shard;
+  s.rule = matched->rule;
+  s.t = t;
+  s.landed_at = now();
   if (s.sqe.label() == 0) s.sqe.set_label(++own_label_);
   if (!reads) s.data = std::make_shared<const nvme::Bytes>(std::move(c.data));
   bytes_ += s.data ? s.data->size() : 0;
@@ -237,8 +259,12 @@
 
 void Scheduler::answer(Slot& s, nvme::Status status, std::uint64_t result, nvme::View data) {
   if (s.answered) return;
-  s.answered = true;
   target_->complete(s.connection, s.sqe.cid, status, result, data);
+  mark_answered(s);
+}
+
+void Scheduler::mark_answered(Slot& s) {
+  s.answered = true;
   const auto found = by_client_.find(s.connection);
   if (found != by_client_.end()) {
     found->second.erase(static_cast<int>(&s - slots_.data()));
@@ -314,13 +340,79 @@
   }
   if (outcome == Outcome::kHonoured && !s.answered) {
     ++counts_.honoured;
-    answer(s, nvme::status::kOk, s.sqe.opcode == nvme::opcode::kZoneAppend ? completion.cqe.result() : 0,
-           completion.data);
+    const std::uint64_t result = s.sqe.opcode == nvme::opcode::kZoneAppend ? completion.cqe.result() : 0;
+    if (keeper_) enter(s, result, std::move(completion.data));
+    else answer(s, nvme::status::kOk, result, completion.data);
   }
   r.finished = s.answered;
   control_->replied(now(), d.transaction, r);
 }
 
+// ---- The ledger ----
+
+// Its entry first, then the answer.
+void Scheduler::enter(Slot& s, std::uint64_t result, nvme::Bytes&& data) {
+  const auto facts = facts_.find(s.connection);
+  const Plan& plan = config_.settings.plans[static_cast<std::size_t>(s.t.plan)];
+  const double hosts = std::max(s.t.hosts, 1);
+  ledger::Use use;
+  use.identity = s.sqe.label();
+  use.unnamed = (s.sqe.label() & kOwnLabel) != 0;
+  use.tenant = matcher_.tenant_of(s.sqe.nsid);
+  use.volume = s.sqe.nsid;
+  use.plan = config_.plan_names[static_cast<std::size_t>(s.t.plan)];
+  use.profile = config_.profile_names[static_cast<std::size_t>(s.t.profile)];
+  use.units = static_cast<std::uint32_t>(s.t.units);
+  use.bytes = std::uint64_t{s.sqe.blocks()} * config_.block_bytes;
+  use.standing = standings_.of(now(), s.t.volume, plan.reservation / hosts, plan.usual / hosts, s.t.units);
+  if (facts != facts_.end()) use.client = facts->second.name;
+  use.attempt = static_cast<std::uint32_t>(s.sqe.client_try());
+  if (s.rule >= 0) use.labels = &matcher_.rules().rule(s.rule).labels;
+  const std::uint64_t ticket = keeper_->honoured(use);
+  if (!config_.ledger.waits) return answer(s, nvme::status::kOk, result, data);
+  const Profile& profile = config_.settings.profiles[static_cast<std::size_t>(s.t.profile)];
+  const double until = keeper_->pressure().hold_until(now(), s.landed_at + profile.contract, s.landed_at + s.t.time_left);
+  waiting_.push_back({ticket, until, s.connection, s.sqe.cid, result, std::move(data)});
+  mark_answered(s);
+  if (waiting_timer_ == 0) waiting_timer_ = loop_.at(until, [this] { look_at_waiting(); });
+}
+
+void Scheduler::entered(std::uint64_t ticket) {
+  while (!waiting_.empty() && waiting_.front().ticket <= ticket) {
+    const Waiting& w = waiting_.front();
+    if (!w.gone) target_->complete(w.connection, w.cid, nvme::status::kOk, w.result, w.data);
+    waiting_.pop_front();
+  }
+}
+
+// What may wait no longer goes out ahead of its entry.
+void Scheduler::look_at_waiting() {
+  waiting_timer_ = 0;
+  double next = 1e18;
+  for (Waiting& w : waiting_) {
+    if (w.gone) continue;
+    if (w.until <= loop_.now()) {
+      target_->complete(w.connection, w.cid, nvme::status::kOk, w.result, w.data);
+      w.gone = true;
+      w.data = {};
+      ++counts_.ahead;
+    } else {
+      next = std::min(next, w.until);
+    }
+  }
+  // Later ones may have to go earlier; a look each 10 ms at least costs little and is exact enough.
+  if (!waiting_.empty()) waiting_timer_ = loop_.at(std::min(next, loop_.now() + 0.01), [this] { look_at_waiting(); });
+}
+
+void Scheduler::ledger_state(bool read_only, const std::string& reason) {
+  if (read_only) log_.error(loop_.now(), "ledger.read_only", {{"reason", reason}});
+  else log_.info(loop_.now(), "ledger.takes_entries");
+}
+
+void Scheduler::ledger_note(const char* event, const std::string& text) {
+  log_.warn(loop_.now(), event, {{"text", text}});
+}
+
 void Scheduler::link_changed(int node, const char* event, const std::string& reason) {
   nlohmann::json fields{{"node", nodes_[static_cast<std::size_t>(node)].address.text()}};
   if (!reason.empty()) fields["reason"] = reason;
@@ -400,6 +492,8 @@
              {"at_door", since(&Counts::at_door)},
              {"by_rule", since(&Counts::by_rule)},
              {"rule_errors", since(&Counts::rule_errors)},
+             {"at_ledger", since(&Counts::at_ledger)},
+             {"ahead", since(&Counts::ahead)},
              {"open", open()},
              {"clients", target_->connections()}});
   reported_ = counts_;
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -8,6 +8,7 @@
 #include "config/gateway_config.h"
 #include "control.h"
 #include "gateway/list_watch.h"
+#include "ledger/keeper.h"
 #include "gateway/log.h"
 #include "gateway/match.h"
 #include "gateway/node_link.h"
@@ -26,6 +27,8 @@
   std::uint64_t at_door = 0;  // turned back before the module saw them: draining, or a bound was reached
   std::uint64_t by_rule = 0;  // turned back at the door by a rule's word
   std::uint64_t rule_errors = 0;  // evaluations that failed: the rule did not match
+  std::uint64_t at_ledger = 0;    // turned back while the ledger takes no entries
+  std::uint64_t ahead = 0;        // answers that went out before their entries were durable
   std::uint64_t refused = 0;  // with an error status: not a command that a volume takes
 };
 
@@ -33,7 +36,7 @@
 // number, from 1, in its result (DW0).
 inline constexpr std::uint8_t kReasonsPage = 0xC0;
 
-class Scheduler final : public heronworks::Host, public nvme::Backend, public NodeLinkOwner, public ListOwner {
+class Scheduler final : public heronworks::Host, public nvme::Backend, public NodeLinkOwner, public ListOwner, public ledger::KeeperOwner {
  public:
   // Throws std::runtime_error if it cannot listen.
   Scheduler(Loop& loop, const config::GatewayConfig& config, Log& log);
@@ -75,6 +78,19 @@
     int profile = 0;
     int shard = -1;
     int dispatches = 0;
+    int rule = -1;
+    Transaction t;  // as it landed; its time left is counted from `landed_at`
+    double landed_at = 0;
+  };
+  // An answer that waits for its entry in the ledger.
+  struct Waiting {
+    std::uint64_t ticket = 0;
+    double until = 0;
+    nvme::ConnectionId connection = 0;
+    std::uint16_t cid = 0;
+    std::uint64_t result = 0;
+    nvme::Bytes data;
+    bool gone = false;  // went out ahead
   };
   struct NodeEntry {
     Address address;
@@ -88,6 +104,14 @@
   void list_came(std::vector<ListedNode> nodes) override;
   void list_failed(const std::string& reason) override;
 
+  // From the ledger.
+  void entered(std::uint64_t ticket) override;
+  void ledger_state(bool read_only, const std::string& reason) override;
+  void ledger_note(const char* event, const std::string& text) override;
+
+  void enter(Slot& slot, std::uint64_t result, nvme::Bytes&& data);
+  void look_at_waiting();
+  void mark_answered(Slot& slot);
   double now() const { return loop_.turn_time(); }
   std::vector<Entry> take_list(const std::vector<ListedNode>& nodes);
   void connect_to_listed();
@@ -108,6 +132,11 @@
   std::vector<int> free_;
   std::unordered_map<nvme::ConnectionId, std::set<int>> by_client_;  // open ones; emptied with them
   std::unordered_map<nvme::ConnectionId, ClientFacts> facts_;        // of I/O connections; emptied as they close
+  store::DiskFiles files_;
+  std::unique_ptr<ledger::Keeper> keeper_;  // none: no ledger
+  ledger::Standings standings_;
+  std::deque<Waiting> waiting_;       // by ticket; bounded by what may be open, emptied as entries are durable
+  Loop::Timer waiting_timer_ = 0;
   std::size_t bytes_ = 0;             // of writes held
   std::vector<NodeEntry> nodes_;      // as many as were listed since the start
   std::map<std::string, int> node_numbers_;
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -1,6 +1,7 @@
 // Days: see day.h.
 #include "lab/day.h"
 
+#include "lab/bills.h"
 #include "lab/day_rules.h"
 
 #include <algorithm>
@@ -30,7 +31,7 @@
     case Trouble::kSlow: case Trouble::kHang: case Trouble::kFastErrors: case Trouble::kAnswersLost:
     case Trouble::kAgeing: case Trouble::kPauses: case Trouble::kCrash: case Trouble::kDrain:
       return Target::kNode;
-    case Trouble::kSchedulerKilled: case Trouble::kSchedulerStopped: case Trouble::kClientLeaves:
+    case Trouble::kSchedulerKilled: case Trouble::kSchedulerStopped: case Trouble::kClientLeaves: case Trouble::kDiskFull:
       return Target::kScheduler;
     case Trouble::kPlanSurge: case Trouble::kHeavy: return Target::kPlan;
     case Trouble::kVolumeSurge: return Target::kVolume;
@@ -93,7 +94,7 @@
   static const std::vector<std::string> kNames = {
       "slow",      "hang",         "fast_errors", "answers_lost", "ageing",      "pauses",
       "heavy",     "crash",        "drain",       "list_down",    "reports_late", "surge",
-      "plan_surge", "volume_surge", "lead_moves",  "scheduler_killed", "scheduler_stopped", "client_leaves"};
+      "plan_surge", "volume_surge", "lead_moves",  "scheduler_killed", "scheduler_stopped", "client_leaves", "disk_full"};
   return kNames;
 }
 
@@ -155,11 +156,16 @@
   config::Section c = root.section("clients");
   d.connections = static_cast<int>(c.integer("connections", 2, 1, 1000));
   d.load = c.number("load", 0.5, 0, 100);
+  d.retry_lost = c.flag("retry_lost", false);
   d.retries = static_cast<int>(c.integer("retries", 1, 0, 10));
   d.backoff = c.number("backoff", 0.05, 0, 60);
   d.lead_part = c.number("lead_part", 0.6, 0, 1);
   c.finish();
 
+  config::Section ledger = root.section("ledger");
+  d.ledger_period = ledger.number("period", 0, 1, 86400);
+  ledger.finish();
+
   config::Section r = root.section("rules");
   d.rules = r.text("text", "");
   r.finish();
@@ -269,6 +275,7 @@
     << day.block_bytes << "\nzone_blocks = " << day.zone_blocks << "\nzones = " << day.zones_a_volume
     << "\nshards = " << day.nodes << "\nunit_blocks = " << day.unit_blocks << "\nkey_blocks = " << day.key_blocks
     << "\n[log]\nfile = \"" << folder << "/scheduler-" << index << ".log\"\n";
+  if (day.ledger_period > 0) t << "[ledger]\nfolder = \"" << ledger_folder(folder, index) << "\"\nperiod = " << day.ledger_period << "\n";
   const char* repeats[] = {"redoable", "labelled", "irreversible"};
   const char* groups[] = {"all", "zone", "cell"};
   for (std::size_t i = 0; i < s.profiles.size(); ++i) {
@@ -303,7 +310,8 @@
   const auto volumes = volumes_of(day);
   for (std::size_t i = 0; i < volumes.size(); ++i) {
     t << "[[volumes]]\nfirst = " << i + 1 << "\nplan = \""
-      << day.plan_names[static_cast<std::size_t>(volumes[i].plan)] << "\"\nhosts = " << volumes[i].schedulers.size()
+      << day.plan_names[static_cast<std::size_t>(volumes[i].plan)] << "\"\ntenant = \"" << tenant_of(static_cast<int>(i))
+      << "\"\nhosts = " << volumes[i].schedulers.size()
       << "\n";
   }
   return t.str();
--- a/src/lab/day.h
+++ b/src/lab/day.h
@@ -29,7 +29,7 @@
 
 enum class Trouble {
   kSlow, kHang, kFastErrors, kAnswersLost, kAgeing, kPauses, kHeavy, kCrash, kDrain, kListDown, kReportsLate,
-  kSurge, kPlanSurge, kVolumeSurge, kLeadMoves, kSchedulerKilled, kSchedulerStopped, kClientLeaves,
+  kSurge, kPlanSurge, kVolumeSurge, kLeadMoves, kSchedulerKilled, kSchedulerStopped, kClientLeaves, kDiskFull,
 };
 
 const std::vector<std::string>& trouble_names();
@@ -88,10 +88,12 @@
   // Clients.
   int connections = 2;       // to each scheduler
   double load = 0.5;         // of what the nodes can do
+  bool retry_lost = false;   // also what was redoable when its connection broke, through another scheduler
   int retries = 1;
   double backoff = 0.05;
   double lead_part = 0.6;    // of a volume's traffic that its leading scheduler gets
 
+  double ledger_period = 0;  // s; 0: the schedulers keep no ledgers
   std::string rules;         // [[rule]] and [sets] for the schedulers, TOML as written
   std::shared_ptr<const config::Rules> read_rules;  // the same, for the stand-ins and the checker
 
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -71,6 +71,7 @@
     e.client = number_;
     load_.record_.write(e);
     ++load_.second_counts_.lost;
+    if (!leaving_) load_.again_elsewhere(node.mapped());
     load_.check_finished();
   }
   void down(const std::string&) override {
@@ -334,6 +335,23 @@
   check_finished();
 }
 
+// Its connection broke: whether it was honoured, nobody knows; what may be done again is, through another scheduler.
+void Load::again_elsewhere(Transaction t) {
+  const auto& profile = day_.settings.profiles[static_cast<std::size_t>(t.profile)];
+  const auto& hosts = volumes_[static_cast<std::size_t>(t.volume)].schedulers;
+  if (!day_.retry_lost || profile.repeat != Repeat::kRedoable || hosts.size() < 2 || t.attempt >= day_.retries ||
+      loop_.now() + day_.backoff + 0.05 >= t.until)
+    return;
+  t.via = hosts[0] == t.via ? hosts[1] : hosts[0];
+  ++t.attempt;
+  ++retrying_;
+  loop_.at(loop_.now() + day_.backoff, [this, t] {
+    --retrying_;
+    launch(t);
+    check_finished();
+  });
+}
+
 void Load::check_finished() {
   if (loop_.now() - start_ >= day_.seconds && next_at_ - start_ >= day_.seconds && open_ == 0 && retrying_ == 0) finish();
 }
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -55,6 +55,7 @@
   Client& client_of(int volume, int via);
   void launch(const Transaction& t);
   void answered(Client& client, Transaction t, nvme::Completion&& c);
+  void again_elsewhere(Transaction t);
   void lead_moves();
   void second();
   void check_finished();
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -7,6 +7,7 @@
 #include "lab/list.h"
 #include "lab/load.h"
 #include "lab/node.h"
+#include "lab/receiver.h"
 #include "lab/runner.h"
 
 using namespace heronworks;
@@ -88,6 +89,7 @@
   std::fflush(stdout);
   const auto result = lab::run_day(*day, o);
   std::printf("\n%s", result.verdict.table(result.start).c_str());
+  if (result.bills) std::printf("%s", result.bills->line().c_str());
   for (const auto& f : result.faults) std::printf("fault: %s\n", f.c_str());
   std::printf("%s\n", result.good() ? "all rules kept" : "NOT kept");
   return result.good() ? 0 : 1;
@@ -131,6 +133,15 @@
   d->add_option("--lead", w.lead, "s to let the processes start");
   d->add_flag("--quiet", w.quiet, "no line a second");
   d->add_flag("--withhold-rules", w.withhold_rules, "do not give the day's rules to the schedulers");
+  lab::ReceiverOptions receiver;
+  auto* r = app.add_subcommand("receiver", "a stand-in that receives exports of ledgers");
+  r->add_option("--port", receiver.listen.port, "to listen on")->required();
+  r->add_option("--folder", receiver.folder, "for what is stored")->required();
+  r->add_option("--seed", receiver.seed);
+  r->add_option("--lose", receiver.lose_answer, "part of answers lost, with the connection");
+  r->add_option("--twice", receiver.answer_twice, "part of answers told twice");
+  r->add_option("--late", receiver.answer_late, "part of answers that come late");
+  r->add_option("--crash", receiver.crash, "part of messages at which it dies");
   auto* v = app.add_subcommand("verdict", "judge records");
   v->add_option("records", w.records, "files")->required()->check(CLI::ExistingFile);
   CLI11_PARSE(app, argc, argv);
@@ -139,6 +150,15 @@
     if (l->parsed()) return list(w);
     if (c->parsed()) return load(w);
     if (d->parsed()) return play(w);
+    if (r->parsed()) {
+      receiver.listen.host = "127.0.0.1";
+      const MonotonicClock clock;
+      Loop loop(clock);
+      const lab::Receiver one(loop, receiver);
+      loop.on_signal(SIGTERM, [&] { loop.stop(); });
+      loop.run();
+      return 0;
+    }
     return verdict(w);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "heronworks-lab: %s\n", error.what());
--- /dev/null
+++ b/src/lab/receiver.cpp
@@ -0,0 +1,117 @@
+// A stand-in receiver: see receiver.h.
+#include "lab/receiver.h"
+
+#include <unistd.h>
+
+#include <stdexcept>
+
+#include "ledger/book.h"
+#include "ledger/frames.h"
+
+namespace heronworks::lab {
+
+class Receiver::Connection final : public StreamOwner, public ledger::ReceiverHost {
+ public:
+  Connection(Receiver& r, Fd fd) : r_(r), stream_(r.loop_, std::move(fd), *this) {}
+  bool open() const { return stream_.open(); }
+
+  std::size_t received(std::span<const std::uint8_t> bytes) override {
+    const auto used = ledger::unframe(bytes, [this](const ledger::wire::Frame& f) { message(f); });
+    if (used != SIZE_MAX) return used;
+    stream_.close();
+    return bytes.size();
+  }
+  void lost(const std::string&) override {}
+
+  void take(std::uint64_t offset, const std::string& bytes) override { now_->bytes.replace(offset, std::string::npos, bytes); }
+  void drop() override { now_->bytes.clear(); }
+  void store() override {
+    // The name is the identity: a second file of one cannot be.
+    if (store::replace(r_.files_, r_.options_.folder, id_, store::view(now_->bytes)) != 0) return say_refused("cannot be stored");
+    r_.maybe_crash();
+    now_->receipt->stored(*this);
+  }
+  void say_want(std::uint64_t offset) override {
+    ledger::wire::Frame f;
+    f.mutable_want()->set_id(id_);
+    f.mutable_want()->set_offset(offset);
+    send(f);
+  }
+  void say_stored() override {
+    std::string content;
+    if (store::read_all(r_.files_, r_.options_.folder + "/" + id_, content) != 0) return say_refused("cannot be read");
+    ledger::wire::Frame f;
+    f.mutable_stored()->set_id(id_);
+    f.mutable_stored()->set_digest(std::string(ledger::text(ledger::chained(ledger::Digest{}, content))));
+    send(f);
+  }
+  void say_refused(const char* why) override {
+    ledger::wire::Frame f;
+    f.mutable_refused()->set_id(id_);
+    f.mutable_refused()->set_reason(why);
+    send(f);
+  }
+
+ private:
+  void message(const ledger::wire::Frame& f) {
+    r_.maybe_crash();
+    id_ = f.has_offer() ? f.offer().id() : f.has_piece() ? f.piece().id() : f.done().id();
+    if (id_.empty() || id_.find_first_not_of("0123456789abcdefcsvrecords-") != std::string::npos) return say_refused("no identity");
+    const auto [at, fresh] = r_.incoming_.try_emplace(id_);
+    now_ = &at->second;
+    if (fresh) {
+      std::string content;
+      now_->receipt = std::make_unique<ledger::Receipt>(store::read_all(r_.files_, r_.options_.folder + "/" + id_, content) == 0);
+    }
+    if (f.has_offer()) {
+      now_->digest = f.offer().digest();
+      now_->receipt->offered(*this, f.offer().size());
+    } else if (f.has_piece()) {
+      now_->receipt->piece(*this, f.piece().offset(), f.piece().data());
+    } else if (f.has_done()) {
+      const auto digest = ledger::chained(ledger::Digest{}, now_->bytes);
+      now_->receipt->done(*this, now_->digest == ledger::text(digest));
+    }
+  }
+  void send(const ledger::wire::Frame& f) {
+    const std::string bytes = ledger::framed(f);
+    const auto out = [this, bytes] {
+      if (stream_.open()) stream_.send({reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
+    };
+    const double chance = r_.draw();
+    const ReceiverOptions& o = r_.options_;
+    if (chance < o.lose_answer) return stream_.close();
+    if (chance < o.lose_answer + o.answer_late) {
+      r_.loop_.at(r_.loop_.now() + kLate, out);
+      return;
+    }
+    out();
+    if (chance < o.lose_answer + o.answer_late + o.answer_twice) out();
+  }
+
+  Receiver& r_;
+  Stream stream_;
+  std::string id_;
+  Incoming* now_ = nullptr;
+};
+
+Receiver::Receiver(Loop& loop, const ReceiverOptions& options)
+    : loop_(loop), options_(options), random_(options.seed + 1) {
+  if (files_.make_folder(options.folder) != 0) throw std::runtime_error("cannot make " + options.folder);
+  Fd fd = listen_on(options.listen);
+  if (!fd) throw std::runtime_error("cannot listen on " + options.listen.text());
+  listener_ = std::make_unique<Listener>(loop, std::move(fd), [this](Fd accepted) {
+    // Closed ones stay until the end: late answers may still name them; a stand-in sees few.
+    connections_.push_back(std::make_unique<Connection>(*this, std::move(accepted)));
+  });
+}
+
+Receiver::~Receiver() = default;
+
+double Receiver::draw() { return static_cast<double>(random_() - 1) / 2147483646.0; }
+
+void Receiver::maybe_crash() {
+  if (draw() < options_.crash) ::_exit(9);
+}
+
+}  // namespace heronworks::lab
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -3,6 +3,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -96,6 +97,10 @@
           end(scheduler_[s]);
         });
         loop_.at(start_ + a.to, [this, s = a.target] { start_scheduler(s); });
+      } else if (a.trouble == Trouble::kDiskFull) {
+        // No file of that process may grow: to it, that is a full disk.
+        loop_.at(start_ + a.from, [this, s = a.target] { let_files_grow(s, false); });
+        loop_.at(start_ + a.to, [this, s = a.target] { let_files_grow(s, true); });
       } else if (a.trouble == Trouble::kSchedulerStopped) {
         loop_.at(start_ + a.from, [this, s = a.target] {
           say(Kind::kStopped, s);
@@ -120,7 +125,9 @@
       if (f.path().extension() == ".record") files.push_back(f.path().string());
     }
     std::sort(files.begin(), files.end());
-    result_.verdict = judge(read_records(files));
+    const auto events = read_records(files);
+    result_.verdict = judge(events);
+    if (day_.ledger_period > 0) result_.bills = check_bills(day_, events, folder_);
     return std::move(result_);
   }
 
@@ -137,6 +144,14 @@
     record_->write(e);
   }
 
+  void let_files_grow(int s, bool may) {
+    if (scheduler_[s] <= 0) return;
+    rlimit limit{};
+    if (::prlimit(scheduler_[s], RLIMIT_FSIZE, nullptr, &limit) != 0) return;
+    limit.rlim_cur = may ? limit.rlim_max : 1;
+    ::prlimit(scheduler_[s], RLIMIT_FSIZE, &limit, nullptr);
+  }
+
   void start_node(int n, int life) {
     node_[n] = start("node " + std::to_string(n),
                      {options_.self, "node", day_.file, "--seed", std::to_string(day_.seed), "--number",
--- a/src/lab/runner.h
+++ b/src/lab/runner.h
@@ -2,6 +2,7 @@
 // them, and has the record judged.
 #pragma once
 
+#include "lab/bills.h"
 #include "lab/day.h"
 #include "lab/verdict.h"
 
@@ -18,9 +19,10 @@
 
 struct RunResult {
   Verdict verdict;
+  std::optional<Bills> bills;  // where the day has ledgers
   double start = 0;
   std::vector<std::string> faults;  // processes that ended as they should not
-  bool good() const { return verdict.kept() && faults.empty(); }
+  bool good() const { return verdict.kept() && faults.empty() && (!bills || bills->faults.empty()); }
 };
 
 RunResult run_day(const Day& day, const RunOptions& options);
--- a/src/store/log.cpp
+++ b/src/store/log.cpp
@@ -405,7 +405,7 @@
     if (const int e = files_.remove(folder_ + "/" + numbered("snapshot", s)); e != 0) return e;
   }
   if (const int e = files_.sync_folder(folder_); e != 0) return e;
-  for (std::size_t i = 0; i + 1 < c.segments.size() && c.segments[i + 1] <= keep + 1; ++i) {
+  for (std::size_t i = 0; !options_.keep_all && i + 1 < c.segments.size() && c.segments[i + 1] <= keep + 1; ++i) {
     if (const int e = files_.remove(folder_ + "/" + numbered("log", c.segments[i])); e != 0) return e;
   }
   return files_.sync_folder(folder_);
--- a/src/store/log.h
+++ b/src/store/log.h
@@ -24,6 +24,7 @@
 struct LogOptions {
   std::uint64_t segment_bytes = std::uint64_t{64} << 20;  // a new one begins after this
   std::size_t keep_snapshots = 2;  // and the segments that the oldest of them needs
+  bool keep_all = false;           // segments: the log itself is what counts
 };
 
 inline constexpr std::size_t kMostRecord = std::size_t{1} << 20;  // bytes
