--- a/bench/ledger.cpp
+++ b/bench/ledger.cpp
@@ -58,12 +58,10 @@
   store::LogState state;
   store::Fault fault;
   Book book({3600, 60, 200000});
-  const store::Reader reader{
-      [&](std::uint64_t, store::View s) { return book.restore({reinterpret_cast<const char*>(s.data()), s.size()}); },
-      [&](std::uint64_t, store::View r) { book.replay({reinterpret_cast<const char*>(r.data()), r.size()}); }};
+  std::string wrong;
   store::LogOptions options;
   options.keep_all = true;
-  if (!store::Log::open(files, folder + "/entries", options, reader, state, fault)) std::exit(1);
+  if (!store::Log::open(files, folder + "/entries", options, into(book, wrong), state, fault) || !wrong.empty()) std::exit(1);
   return now() - start;
 }
 
--- a/src/cli/ledger.cpp
+++ b/src/cli/ledger.cpp
@@ -116,13 +116,7 @@
   std::string wrong;
   store::LogOptions options;
   options.keep_all = true;
-  const store::Reader reader{
-      [&](std::uint64_t, store::View s) { return book.restore({reinterpret_cast<const char*>(s.data()), s.size()}); },
-      [&](std::uint64_t, store::View r) {
-        const std::string now = book.replay({reinterpret_cast<const char*>(r.data()), r.size()});
-        if (wrong.empty()) wrong = now;
-      }};
-  const auto log = store::Log::open(files, w.folder + "/entries", options, reader, state, fault);
+  const auto log = store::Log::open(files, w.folder + "/entries", options, into(book, wrong), state, fault);
   if (!log) return refuse(fault);
   if (!wrong.empty()) return refuse({w.folder, 0, wrong, 0});
   std::vector<std::string> records;
--- a/src/config/gateway_config.cpp
+++ b/src/config/gateway_config.cpp
@@ -194,6 +194,7 @@
     range.plan = v.one_of("plan", c.plan_names, -1);
     range.hosts = static_cast<int>(v.integer("hosts", settings.schedulers, 1, settings.schedulers));
     range.tenant = v.text("tenant", "none");
+    if (range.tenant.empty() || range.tenant.size() > 64) v.complain("tenant", "must be of 1 to 64 bytes");
     if (range.last < range.first) v.complain("last", "must not be under 'first'");
     for (const Volumes& o : c.volumes) {
       if (range.first <= o.last && o.first <= range.last) {
--- a/src/ledger/keeper.cpp
+++ b/src/ledger/keeper.cpp
@@ -3,6 +3,8 @@
 
 #include <stdexcept>
 
+#include "ledger/reading.h"
+
 namespace heronworks::ledger {
 namespace {
 
@@ -15,16 +17,10 @@
   store::LogState state;
   store::Fault fault;
   std::string wrong;
-  const store::Reader reader{
-      [&](std::uint64_t, store::View s) { return book_.restore({reinterpret_cast<const char*>(s.data()), s.size()}); },
-      [&](std::uint64_t sequence, store::View r) {
-        const std::string w = book_.replay({reinterpret_cast<const char*>(r.data()), r.size()});
-        if (!w.empty() && wrong.empty()) wrong = "record " + std::to_string(sequence) + ": " + w;
-      }};
   store::LogOptions log_options;
   log_options.segment_bytes = options.segment_bytes;
   log_options.keep_all = true;  // the log is the ledger
-  auto log = store::Log::open(files, options.folder + "/entries", log_options, reader, state, fault);
+  auto log = store::Log::open(files, options.folder + "/entries", log_options, into(book_, wrong), state, fault);
   if (!log) throw std::runtime_error("the ledger is refused: " + fault.shown());
   if (!wrong.empty()) throw std::runtime_error("the ledger is refused: " + options.folder + ": " + wrong);
   if (state.cut) owner_.ledger_note("ledger.cut", state.cut->shown());
--- a/src/ledger/reading.cpp
+++ b/src/ledger/reading.cpp
@@ -12,6 +12,15 @@
 
 }  // namespace
 
+store::Reader into(Book& book, std::string& wrong) {
+  return {[&](std::uint64_t, store::View s) { return book.restore(text(s)); },
+          [&](std::uint64_t sequence, store::View r) {
+            if (!wrong.empty()) return;
+            wrong = book.replay(text(r));
+            if (!wrong.empty()) wrong = "record " + std::to_string(sequence) + ": " + wrong;
+          }};
+}
+
 bool read_ledger(store::Files& files, const std::string& folder, const Visitor& visitor, LedgerFacts& facts,
                  store::Fault& fault) {
   facts = {};
--- a/src/ledger/reading.h
+++ b/src/ledger/reading.h
@@ -22,6 +22,9 @@
   store::LogState log;
 };
 
+// Hands a log's snapshot and records to a book; the first that does not fit is told in `wrong`.
+store::Reader into(Book& book, std::string& wrong);
+
 // Told in order; `bytes` are the record as written. Any may be empty.
 struct Visitor {
   std::function<void(const wire::Entry&, std::string_view bytes)> entry;
--- a/tests/gateway/config_test.cpp
+++ b/tests/gateway/config_test.cpp
@@ -73,6 +73,8 @@
   CHECK(one(std::string(kGood) + "[[volumes]]\nfirst = 9\nplan = \"base\"\n").find("overlap with 1 to 9") != std::string::npos);
   CHECK(one(with("usual = 10", "usual = 10\nlimit = 20")).find("needs 'burst'") != std::string::npos);
   CHECK(one(with("shards = 2", "shards = 2\nshard = 3")) == ":9:1: space.shard: unknown; did you mean shards?");
+  CHECK(one(with("plan = \"base\"", "plan = \"base\"\ntenant = \"" + std::string(65, 't') + "\"")) == ":23:10: volumes[0].tenant: must be of 1 to 64 bytes");
+  CHECK(one(std::string(kGood) + "[[rule]]\nwhen = \"true\"\nlabels = {a = \"" + std::string(600, 'x') + "\"}\n").find("at most 512 go into an entry") != std::string::npos);
   CHECK(one("[scheduler\n").find(":1:") == 0);
 }
 
