--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -64,7 +64,6 @@
     o.writer.group = config.ledger.group;
     o.scheduler = static_cast<std::uint32_t>(config.settings.index);
     o.new_ledger = own_label_ ^ static_cast<std::uint64_t>(::getpid()) << 32;
-    o.waits = config.ledger.waits;
     keeper_ = std::make_unique<ledger::Keeper>(loop, files_, o, *this);
     log_.info(loop_.now(), "ledger.opened", {{"entries", keeper_->book().entries()}, {"period", keeper_->book().period()}});
   }
--- a/src/ledger/book.h
+++ b/src/ledger/book.h
@@ -69,7 +69,7 @@
   void honoured(double time, const Use& use, std::vector<std::string>& out);
   void tick(double time, std::vector<std::string>& out);
   void note(double time, const std::string& text, std::vector<std::string>& out);
-  // Closes the period that runs now, early; what follows falls into the next.
+  // The period that runs.
   std::int64_t period() const { return period_; }
 
   std::uint64_t ledger() const { return ledger_; }
--- a/src/ledger/keeper.h
+++ b/src/ledger/keeper.h
@@ -21,7 +21,6 @@
   std::uint64_t segment_bytes = std::uint64_t{64} << 20;
   std::uint32_t scheduler = 0;
   std::uint64_t new_ledger = 0;  // name of a ledger that begins
-  bool waits = true;             // answers wait for their entries; else they go at once
 };
 
 class KeeperOwner {
--- a/src/ledger/reconcile.cpp
+++ b/src/ledger/reconcile.cpp
@@ -197,7 +197,7 @@
         kept = &i;
         continue;
       }
-      // The first one stands; which that is, all who reconcile agree on.
+      // The first one stands; of the same nanosecond, the one of the folder named first.
       tell(Finding::kBilledTwice, i, -i.units, kept);
       if (i.entered != kept->entered) tell(Finding::kUnitsDiffer, i, 0, kept);
     }
--- a/tests/export.sh
+++ b/tests/export.sh
@@ -53,7 +53,10 @@
   if grep -q "not finished" "$folder/status"; then echo "seed $seed: an intent without a commit"; cat "$folder/status"; exit 1; fi
   rm -f "$folder"/got/*.new
   [ "$(ls "$folder/got" | wc -l)" -eq "$closed" ] || { echo "seed $seed: $closed closed, and received:"; ls "$folder/got"; exit 1; }
-  # What was received is what the ledger holds, the same every time.
+  # Each file holds the bytes that its name's digest is of, and the same every time.
+  for f in "$folder"/got/*; do
+    [ "$( (head -c 32 /dev/zero; cat "$f") | sha256sum | cut -c1-16)" = "${f##*-}" ] || { echo "other bytes: $f"; exit 1; }
+  done
   [ "$seed" -eq 1 ] && cp -r "$folder/got" "$folder/first"
   diff -r "$folder/first" "$folder/got" || exit 1
 done
