Time left beyond a profile's cut-off is cut to it, so that nothing is remembered for longer

Seen: an ordering in which a client tells 3,600 s left: 12 s after all was over the module still remembered what it had turned back; a tenant that tells an hour (the field holds 71 minutes) grows past_ by each of its turn-backs for as long. Ruled out: slots held, as all is answered by its contract time. Lines: Control::landed, cut_off_at. Change: the cut-off is the earlier of the told one and the profile's. An answer that comes earlier breaks no rule.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -144,11 +144,12 @@
   o = Open{};
   o.used = true;
   o.t = t;
-  o.cut_off_at = now + t.time_left;
+  const Profile& profile = settings_.profiles[at(t.profile)];
+  // Danger: a client that tells hours left has what it left unserved remembered for as long.
+  o.cut_off_at = now + std::min(t.time_left, profile.cut_off);
   // The contract time of a client's repeat began with its first try. Danger: clients in a hurry bring little
   // time on a first try too; so a repeat is known by what it is about and by the same cut-off as one answered
   // before.
-  const Profile& profile = settings_.profiles[at(t.profile)];
   const bool late_counts = profile.late_part >= kLateCounts;
   o.contract_at = std::min(now + (late_counts ? profile.cut_off : profile.contract), o.cut_off_at);
   if (now == stalled_at_) o.contract_at -= std::clamp(profile.cut_off - t.time_left, 0.0, stalled_for_);
--- a/tests/orderings/orderings_test.cpp
+++ b/tests/orderings/orderings_test.cpp
@@ -111,6 +111,16 @@
   CHECK(seen.given_up > 0);
 }
 
+TEST_CASE("rule 1: time left beyond the profile's cut-off, or none, holds nothing for longer") {
+  Script s = plain();
+  s.landings = {{0, work(kRead, 0, 3600)}, {0, work(kOnce, 0, -0.5, 2)}, {0, work(kRead, 5, 3600, 3)}};
+  s.outcomes = {Outcome::kError, Outcome::kHonoured};
+  s.replies = 2;
+  s.abandons = 1;
+  s.passes = {0.2, 0.5};
+  play("odd time left", s);
+}
+
 TEST_CASE("rule 2: no effect twice, over repeat windows and restarts") {
   Script s = plain();
   s.landings = {{0, work(kLabelledWrite)}, {0, work(kOnce, 0, 1, 2)}};
