A labelled transaction keeps to the group that its first dispatch went to, whatever moves

Seen: an ordering in which node 0 holds shard 0, a labelled new object may have run there, the list then says that node 0 holds shard 1, and the repeat goes to node 0: another cell than the one that knows it. Rule 2 broken. Ruled out: the repeat window and the rotation; what was kept of the first dispatch was the node's index alone, and its shard and zone were read at the repeat. Lines: Control::may_go_again, Control::replied. Change: zone and shard are kept as they are when the dispatch goes. It also makes the index of a node free for reuse.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -245,10 +245,7 @@
     v.use = r.volume_use;
     v.use_at = now;
   }
-  if (!never_ran && !o.may_have_run) {
-    o.may_have_run = true;
-    o.first_node = r.node;
-  }
+  o.may_have_run = o.may_have_run || !never_ran;
   const Profile& profile = settings_.profiles[at(o.t.profile)];
   if (may_still_run && profile.in_order && o.t.has_key) {
     Lane& lane = lanes_[o.t.key];
@@ -359,8 +356,10 @@
   node.out += 1;
   node.units_out += o.t.units;
   if (o.dispatches > 0) budget_slot(now).again += 1;
-  if (!o.may_have_run) {
+  if (!o.may_have_run) {  // the group as it is now: a node may hold another shard later
     o.label_until = now + profile.label_window - answer_margin_;
+    o.first_zone = node.zone;
+    o.first_shard = node.shard;
   }
   o.dispatches += 1;
   o.out += 1;
@@ -567,9 +566,8 @@
   const Profile& profile = settings_.profiles[at(o.t.profile)];
   if (profile.repeat == Repeat::kRedoable) return true;
   if (profile.repeat == Repeat::kIrreversible || now > o.label_until) return false;
-  const Node& first = nodes_[at(o.first_node)];
-  return profile.group == Group::kAll || (profile.group == Group::kZone && first.zone == node.zone) ||
-         (profile.group == Group::kCell && first.shard == node.shard);
+  return profile.group == Group::kAll || (profile.group == Group::kZone && o.first_zone == node.zone) ||
+         (profile.group == Group::kCell && o.first_shard == node.shard);
 }
 
 Bucket& Control::budget_slot(double now) {
--- a/src/state.h
+++ b/src/state.h
@@ -55,7 +55,8 @@
   double worth = 0;        // a unit, at the last look
   double part = 1;         // of the benefit that it earns, at the last look
   double label_until = 0;  // end of the repeat window, counted from the first dispatch that may have run
-  int first_node = -1;     // of the first dispatch that may have run
+  int first_zone = -1;     // of the first dispatch that may have run
+  int first_shard = -1;
   int dispatches = 0;
   int out = 0;
   std::uint64_t queued = 0;  // place in the order of holding
--- a/tests/orderings/orderings_test.cpp
+++ b/tests/orderings/orderings_test.cpp
@@ -136,6 +136,18 @@
   CHECK(seen.second_replies > 0);
 }
 
+TEST_CASE("rule 2: what may have run in a cell stays there, also when shards move between nodes") {
+  Script s = plain();
+  s.landings = {{0, work(kLabelledWrite, -1)}, {0, work(kOnce, -1, 1, 2)}};
+  s.outcomes = {Outcome::kError, Outcome::kFull, Outcome::kReset};
+  s.replies = 3;
+  s.news = {{0, Scope::kWhole, {entry(0, 1), entry(1, 0)}}};
+  s.passes = {0.05, 0.3};
+  const Seen seen = play("effects of new objects", s);
+  CHECK(seen.again > 0);
+  CHECK(seen.given_up > 0);
+}
+
 TEST_CASE("rule 3: nothing goes to a node that drains or is gone") {
   Script s = plain();
   s.landings = {{0, work(kRead)}, {0, work(kRead, -1, 1, 2)}, {0, work(kRead, 0, 1, 3)}};
