A cold node's store begins once for each process, also where the node's clock is ahead

Seen: an ordering in which the list says that a node came up 0.4 s from now (its clock is ahead): the store that lets little out to a cold node was drawn by chance anew at each look, and two schedulers sent 5 units where 4 are borne. Ruled out: the turns and their safe number, which count what was sent. Lines: Control::cold_room, where cold_at was compared with came_up and stayed under it. Change: the store remembers which process it is for.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -675,7 +675,10 @@
   if (!is_cold(now, node)) return kNever;
   const double share = std::max(settings_.cold_share, 0.01);
   const double age = std::max(now - node.came_up, 0.0) / settings_.cold_time;
-  if (node.cold_at < node.came_up) {
+  // Danger: clocks of hosts differ, and a node may seem to come up later than now. Its store begins once for each
+  // process, else each look fills it by chance again.
+  if (node.cold_for != node.came_up) {
+    node.cold_for = node.came_up;
     node.cold_at = now;
     node.cold_store = settings_.mean_units * std::uniform_real_distribution(0.0, 1.0)(random_);
   }
--- a/src/state.h
+++ b/src/state.h
@@ -102,7 +102,8 @@
   double weight = 0;
   double turn = 0;
   double cold_store = 0;        // units that may go while it is cold
-  double cold_at = -1;          // when that was last filled
+  double cold_for = 0;          // the start of the process that it is for
+  double cold_at = 0;           // when it was last filled
   std::vector<Sent> cold_sent;  // of the last fall time; emptied as it passes
 };
 
--- a/tests/orderings/orderings_test.cpp
+++ b/tests/orderings/orderings_test.cpp
@@ -172,6 +172,15 @@
   CHECK(seen.cold_sends > 0);
 }
 
+TEST_CASE("rule 4: the same where a node's clock is ahead, so that it comes up later than now") {
+  Script s = cold();
+  s.nodes = {entry(0, 0, Listing::kReady, 100.4), entry(1, 1)};
+  for (int i = 0; i < 10; ++i) s.landings.push_back({i % 2, work(kRead, 0, 1, 1 + static_cast<std::uint64_t>(i), 1)});
+  s.passes = {0.02, 0.3, 0.35};
+  const Seen seen = play("cold node, clocks apart", s);
+  CHECK(seen.cold_sends > 0);
+}
+
 TEST_CASE("rule 5: one key, one at a time, in order, rested") {
   Script s = plain();
   s.landings = {{0, work(kOrdered)}, {0, work(kOrderedWrite)}, {0, work(kOrdered)}};
