At a cold node a turn leaves room for what others send by their past

Seen: an ordering in which two schedulers were served by a node's predecessor all that it managed; the one in turn sends the whole safe number of units, and the other its own part on top: 6 units in a fall time where 4 are borne. Ruled out: the turns alone (one a window) and the parts alone (0.4 of what is borne): the sum of both was never looked at; the store's start by chance, up to a mean transaction, also let small ones go at once from all schedulers together. Lines: Control::cold_room, safe and the start of cold_store. Change: turns keep to the other 0.6 of the safe number, and a store starts under one unit. Result: world 'cold node with a past' fails before and passes now.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -668,9 +668,9 @@
 // Danger: all schedulers together push a node over that has just come up. What each was served of the shard
 // before adds up to no more than the node managed, and at its age it manages at least a part that grows
 // evenly. So each sends that part of its own usual rate, times a part of the stated multiple; with random
-// starts, so that the first ones do not meet. Whoever has no usual rate there keeps to the safe number of
-// units: while an even part of it would not hold the largest transaction, the schedulers take turns by
-// number, one in a fall time.
+// starts under one unit, so that none goes at once and the first ones do not meet. Whoever has no usual rate
+// there keeps to what these leave of the safe number of units: while an even part of it would not hold the
+// largest transaction, the schedulers take turns by number, one in a fall time.
 double Control::cold_room(double now, Node& node) {
   if (!is_cold(now, node)) return kNever;
   const double share = std::max(settings_.cold_share, 0.01);
@@ -680,7 +680,7 @@
   if (node.cold_for != node.came_up) {
     node.cold_for = node.came_up;
     node.cold_at = now;
-    node.cold_store = settings_.mean_units * std::uniform_real_distribution(0.0, 1.0)(random_);
+    node.cold_store = std::uniform_real_distribution(0.0, 1.0)(random_);
   }
   const double usual = at(node.shard) < managed_.size() ? managed_[at(node.shard)] : 0;
   const double part = kColdPart * settings_.tip_multiple * (share + (1 - share) * age);
@@ -693,7 +693,7 @@
   const double turn_time = kTurnTime * settings_.fall_time;
   const double turn = std::floor(std::max(now - node.came_up, 0.0) / turn_time);
   const double aged = std::min(1.0, turn * turn_time / settings_.cold_time);
-  const double safe = settings_.cold_units * (share + (1 - share) * aged) / share;
+  const double safe = (1 - kColdPart) * settings_.cold_units * (share + (1 - share) * aged) / share;
   if (safe / schedulers >= settings_.largest_units)
     return std::max(safe / schedulers - sent, node.cold_store);
   const bool mine = static_cast<int>(turn) % schedulers == settings_.index % schedulers;
--- a/tests/orderings/orderings_test.cpp
+++ b/tests/orderings/orderings_test.cpp
@@ -168,7 +168,25 @@
   s.outcomes = {Outcome::kHonoured};
   s.replies = 2;
   s.passes = {0.3, 0.35, 0.6};
-  const Seen seen = play("cold node", s);
+  Seen seen = play("cold node", s);
+  CHECK(seen.cold_sends > 0);
+  // Both were served by its predecessor, all that it managed.
+  s.nodes = {entry(0, 0), entry(1, 1)};
+  s.up_at = 106;
+  s.before = [](World& w) {
+    for (int i = 0; i < 24; ++i) {
+      for (int scheduler = 0; scheduler < 2; ++scheduler) w.land(scheduler, work(kRead, 0, 1, 50, 2));
+      w.pass(0.05);
+      w.reply_all(Outcome::kHonoured);
+      w.pass(0.2);
+    }
+    for (int scheduler = 0; scheduler < 2; ++scheduler) {
+      w.tell(scheduler, Scope::kChanges, {entry(0, 0, Listing::kReady, 106)});
+    }
+  };
+  s.passes = {0.3, 0.5};
+  s.replies = 1;
+  seen = play("cold node with a past", s);
   CHECK(seen.cold_sends > 0);
 }
 
