A tenant that lands and leaves at once shortens only its own volume's contract time

Seen: a test in which one volume's clients land and leave 40 times; another volume's transaction of the same profile was then turned back after 10 ms in place of 400, as for everybody on the profile for some 25 s. A client that closes a connection with a full queue on it does just that. Ruled out: the loss of work sent, which the bound covers. Lines: Control::abandoned and patience_, one number a profile for all volumes. Change: one for each volume and profile. Result: the trace 'leaving' fails before (100.01) and passes (100.41).

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -78,7 +78,6 @@
       tightest_(kNever),
       second_at_(now + kPeriod),
       ask_at_(kNever),
-      patience_(settings_.profiles.size(), kNever),
       budget_(kBudgetSlots + 1) {
   double rates = 0;
   double weights = 0;
@@ -155,14 +154,14 @@
   if (now == stalled_at_) o.contract_at -= std::clamp(profile.cut_off - t.time_left, 0.0, stalled_for_);
   o.landed_at = now;
   o.draw = std::uniform_real_distribution(0.0, 1.0)(random_);
-  o.contract_at = std::min(o.contract_at, now + patience_[at(t.profile)]);
+  Volume& v = volume_of(now, t);
+  o.contract_at = std::min(o.contract_at, now + v.patience[at(t.profile)]);
   const auto past = t.has_key ? past_.find(t.key) : past_.end();
   if (past != past_.end() && past->second.volume == t.volume && past->second.profile == t.profile &&
       std::abs(past->second.cut_off_at - o.cut_off_at) < kSameCutOff) {
     o.contract_at = std::min(o.contract_at, past->second.contract_at);
   }
   budget_slot(now).landed += 1;
-  Volume& v = volume_of(now, t);
   v.arrived += t.units;
   const int node = place(now, o);
   if (node >= 0) v.load += t.units * load(nodes_[at(node)]);
@@ -182,8 +181,8 @@
 void Control::replied(double now, int id, const Reply& r) {
   note_stall(now);
   Open& o = open_[at(id)];
-  // Danger: a reply that comes twice frees room and goes on as if its dispatch had ended twice. One dispatch is out
-  // at a time, so only the newest one's first reply counts.
+  // Danger: a reply that comes twice frees room and goes on as if its dispatch had ended twice. One dispatch is
+  // out at a time, so only the newest one's first reply counts.
   if (o.out == 0 || r.dispatch != o.dispatches - 1) return;
   Node& node = node_at(r.node);
   const bool honoured = r.outcome == Outcome::kHonoured;
@@ -270,9 +269,9 @@
   Open& o = open_[at(id)];
   if (!o.over) {
     // Danger: clients that leave long before their cut-off and come again at once; the work sent for them is
-    // lost. What many of them waited bounds the contract time. May hurt, for seconds, where only a few leave
-    // early.
-    double& patience = patience_[at(o.t.profile)];
+    // lost. What many of them waited bounds the contract time of their volume, nobody else's. May hurt it,
+    // for seconds, where only a few leave early.
+    double& patience = volume_of(now, o.t).patience[at(o.t.profile)];
     patience = std::min(patience, settings_.profiles[at(o.t.profile)].contract);
     patience += kLatencyGain * (now - o.landed_at - patience);
     if (o.t.has_key) past_[o.t.key] = {o.t.volume, o.t.profile, o.cut_off_at, o.contract_at};
@@ -407,9 +406,10 @@
   o.held = false;
 }
 
-// Danger: a long queue is looked at with every event, and this scheduler drowns in its backlog. While a shard's
-// node has no room even for the least of what waits for it, none may go again, and none is late or near its
-// cut-off, a look would change nothing. May hurt where the bounds on what waits are too wide: it is looked at.
+// Danger: a long queue is looked at with every event, and this scheduler drowns in its backlog. While a
+// shard's node has no room even for the least of what waits for it, none may go again, and none is late or
+// near its cut-off, a look would change nothing. May hurt where the bounds on what waits are too wide: it is
+// looked at.
 bool Control::stuck(double now, int shard) {
   if (shard < 0 || waiting_.size() <= at(shard + 1)) return false;
   const Waiting& w = waiting_[at(shard + 1)];
@@ -675,8 +675,8 @@
   if (!is_cold(now, node)) return kNever;
   const double share = std::max(settings_.cold_share, 0.01);
   const double age = std::max(now - node.came_up, 0.0) / settings_.cold_time;
-  // Danger: clocks of hosts differ, and a node may seem to come up later than now. Its store begins once for each
-  // process, else each look fills it by chance again.
+  // Danger: clocks of hosts differ, and a node may seem to come up later than now. Its store begins once for
+  // each process, else each look fills it by chance again.
   if (node.cold_for != node.came_up) {
     node.cold_for = node.came_up;
     node.cold_at = now;
@@ -713,6 +713,7 @@
     v.used = true;
     v.plan = t.plan;
     v.hosts = hosts;
+    v.patience.assign(settings_.profiles.size(), kNever);
     // Danger: a scheduler that died has spent its slice of the limit and forgotten it. So every slice is
     // empty at this scheduler's start. May hurt in the first second of a day.
     v.filled_at = started_;
@@ -769,6 +770,7 @@
     v.mine *= kKeep;
     v.others *= kKeep;
     v.extra *= kKeep;
+    for (double& patience : v.patience) patience *= kPatienceDrift;
   }
   for (Node& node : nodes_) {
     const double served = node.served / kPeriod;
@@ -794,7 +796,6 @@
       node.best = node.buckets == 1 ? recent : std::min(node.best * kBestDrift, recent);
     }
   }
-  for (double& patience : patience_) patience *= kPatienceDrift;
   std::erase_if(past_, [&](const auto& p) { return now >= p.second.cut_off_at; });
   std::erase_if(lanes_, [&](const auto& l) { return l.second.line.empty() && now >= l.second.rest_until; });
 }
--- a/src/control.h
+++ b/src/control.h
@@ -103,7 +103,6 @@
   std::vector<double> managed_;                // by shard: usual service, units a second; as many as listed
   std::vector<Volume> volumes_;                // by volume; as many as there are
   std::map<std::uint64_t, Past> past_;         // by key: answered unserved; erased at the cut-off
-  std::vector<double> patience_;               // by profile: how long clients waited that left early
   std::vector<Bucket> budget_;                 // a ring over the budget's window
   std::map<std::uint64_t, Lane> lanes_;        // by key; erased when idle and rested
 };
--- a/src/state.h
+++ b/src/state.h
@@ -125,6 +125,7 @@
   double pace = 0;
   double store = 0;
   double filled_at = 0;
+  std::vector<double> patience;  // by profile: how long its clients waited that left early
 };
 
 // What is held for one shard, or as new objects, in order of holding; and bounds on what is in it.
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -252,6 +252,18 @@
   CHECK(s.matches("patience"));
 }
 
+TEST_CASE("a tenant that lands and leaves at once shortens nobody else's contract time") {
+  Stage s(plain_settings(), {listed(0)});
+  for (int i = 0; i < 40; ++i) {
+    s.land(i, 0, 2, 5, 1, static_cast<std::uint64_t>(100 + i));
+    s.abandon(i);
+  }
+  s.say("another volume, no node for its shard: it waits for its contract time");
+  s.land(50, 0, 2, 5, 0, 200);
+  s.until(101);
+  CHECK(s.matches("leaving"));
+}
+
 TEST_CASE("a crowd: time-outs spread what one of many schedulers sends, a quick reply ends it") {
   Settings settings = plain_settings();
   settings.schedulers = 100;
