Transactions that bring too little time make no node look bad to others

Seen: a test in which one volume's 40 transactions bring 80 ms each and time out; of eight of another volume at the same two nodes four then went out at once or soon with the shortest wait, one late, three were turned back. Time-outs that the client's own time caused counted in bad_part_ (thinning and wait of all), the node's latency and its part of successes. Ruled out: the bound (the nodes were idle). Lines: Control::replied, bad, tells and success. Change: of a transaction with less time than its profile's contract time, time-outs and late answers tell nothing. Result: trace 'hurried' fails before; now five go at once, all wait their whole time.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -186,7 +186,11 @@
   if (o.out == 0 || r.dispatch != o.dispatches - 1) return;
   Node& node = node_at(r.node);
   const bool honoured = r.outcome == Outcome::kHonoured;
-  const bool tells = now != stalled_at_;
+  // Danger: a tenant whose transactions bring too little time makes nodes look bad to all. That they timed out
+  // or came late tells of their time, not of the node. May hide a bad node where nobody brings enough.
+  const bool hurried = o.cut_off_at - o.landed_at < settings_.profiles[at(o.t.profile)].contract;
+  const bool too_soon = hurried && r.outcome == Outcome::kTimedOut;
+  const bool tells = now != stalled_at_ && !too_soon;
   const bool never_ran =
       r.outcome == Outcome::kFull || r.outcome == Outcome::kNoConnection || r.outcome == Outcome::kMoot;
   const bool may_still_run =
@@ -211,7 +215,7 @@
   // until all together would send one in each aim; only what was sent since the last change counts. A quick
   // reply ends it. Acts in any crowd and at a slow or hung node; may hurt, for a gap, where answers get lost.
   const bool bad =
-      r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kFull || (honoured && now > o.contract_at);
+      r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kFull || (honoured && !hurried && now > o.contract_at);
   if (tells && (bad || honoured)) bad_part_ += kAgainGain * ((bad ? 1 : 0) - bad_part_);
   if (tells && now - r.elapsed >= node.gap_at) {
     const double aim = kAimPart * tightest_;
@@ -236,8 +240,8 @@
     }
     v.mine += o.t.units;
   }
-  node.success += kAgainGain * ((honoured ? 1 : 0) - node.success);
-  if (r.dispatch > 0) node.again_success += kAgainGain * ((honoured ? 1 : 0) - node.again_success);
+  if (!too_soon) node.success += kAgainGain * ((honoured ? 1 : 0) - node.success);
+  if (r.dispatch > 0 && !too_soon) node.again_success += kAgainGain * ((honoured ? 1 : 0) - node.again_success);
   v.others += r.by_others;
   if (r.by_others > 0 || r.volume_use >= 0) v.told = true;
   if (r.volume_use >= 0) {
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -264,6 +264,22 @@
   CHECK(s.matches("leaving"));
 }
 
+TEST_CASE("a tenant whose transactions bring too little time makes no node look bad to others") {
+  Stage s(plain_settings(), {listed(0), listed(1)});
+  for (int i = 0; i < 40; ++i) {
+    s.land(i, 0, 2, 0, 1, static_cast<std::uint64_t>(100 + i), 0.08);
+    s.until(100 + (i + 1) * 0.08);
+    s.reply(i, Outcome::kTimedOut, 0.08);
+  }
+  s.until(103.4);
+  s.say("another volume, at both nodes: all go out at once");
+  for (int i = 50; i < 58; ++i) s.land(i, 0, 2, i % 2, 0, static_cast<std::uint64_t>(i));
+  s.until(103.5);
+  s.reply_all(Outcome::kHonoured);
+  s.until(105);
+  CHECK(s.matches("hurried"));
+}
+
 TEST_CASE("a crowd: time-outs spread what one of many schedulers sends, a quick reply ends it") {
   Settings settings = plain_settings();
   settings.schedulers = 100;
