The meter's word no longer says what is inside a reservation

It guards no rule. Change: the term in Control::worth, its constant and two fields of a volume are gone; that the meter told of a volume still counts as news for the told share (Reply::metered). Simulated servers.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -43,7 +43,6 @@
 constexpr double kLateCounts = 0.5;     // part of the benefit from which a late answer is worth its work
 constexpr double kSameCutOff = 0.01;    // s by which the cut-offs of a try and its repeat may differ
 constexpr double kPatienceDrift = 1.2;  // a second: how fast a client that left early is forgotten
-constexpr double kUseTime = 3.0;        // s for which the meter's last word on a volume holds
 constexpr double kTrialEvery = 0.5;   // s after which late work goes as a trial; longest pause under one out
 constexpr double kAgainPause = 0.03;  // s before a further dispatch, times the dispatches so far
 constexpr double kAgainFloor = 0.1;   // least chance of a further dispatch, so that health is found again
@@ -181,13 +180,13 @@
 void Control::replied(double now, int id, const Reply& r) {
   note_stall(now);
   Open& o = open_[at(id)];
-  // Danger: a reply that comes twice frees room and goes on as if its dispatch had ended twice. One dispatch is
-  // out at a time, so only the newest one's first reply counts.
+  // Danger: a reply that comes twice frees room and goes on as if its dispatch had ended twice. One dispatch
+  // is out at a time, so only the newest one's first reply counts.
   if (o.out == 0 || r.dispatch != o.dispatches - 1) return;
   Node& node = node_at(r.node);
   const bool honoured = r.outcome == Outcome::kHonoured;
-  // Danger: a tenant whose transactions bring too little time makes nodes look bad to all. That they timed out
-  // or came late tells of their time, not of the node. May hide a bad node where nobody brings enough.
+  // Danger: a tenant whose transactions bring too little time makes nodes look bad to all. That they timed
+  // out or came late tells of their time, not of the node. May hide a bad node where nobody brings enough.
   const bool hurried = o.cut_off_at - o.landed_at < settings_.profiles[at(o.t.profile)].contract;
   const bool too_soon = hurried && r.outcome == Outcome::kTimedOut;
   const bool tells = now != stalled_at_ && !too_soon;
@@ -214,8 +213,8 @@
   // longest pause is not enough, each bad reply doubles the gap between this scheduler's dispatches there,
   // until all together would send one in each aim; only what was sent since the last change counts. A quick
   // reply ends it. Acts in any crowd and at a slow or hung node; may hurt, for a gap, where answers get lost.
-  const bool bad =
-      r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kFull || (honoured && !hurried && now > o.contract_at);
+  const bool bad = r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kFull ||
+                   (honoured && !hurried && now > o.contract_at);
   if (tells && (bad || honoured)) bad_part_ += kAgainGain * ((bad ? 1 : 0) - bad_part_);
   if (tells && now - r.elapsed >= node.gap_at) {
     const double aim = kAimPart * tightest_;
@@ -240,14 +239,12 @@
     }
     v.mine += o.t.units;
   }
-  if (!too_soon) node.success += kAgainGain * ((honoured ? 1 : 0) - node.success);
-  if (r.dispatch > 0 && !too_soon) node.again_success += kAgainGain * ((honoured ? 1 : 0) - node.again_success);
-  v.others += r.by_others;
-  if (r.by_others > 0 || r.volume_use >= 0) v.told = true;
-  if (r.volume_use >= 0) {
-    v.use = r.volume_use;
-    v.use_at = now;
+  if (!too_soon) {
+    node.success += kAgainGain * ((honoured ? 1 : 0) - node.success);
+    if (r.dispatch > 0) node.again_success += kAgainGain * ((honoured ? 1 : 0) - node.again_success);
   }
+  v.others += r.by_others;
+  v.told = v.told || r.by_others > 0 || r.metered;
   o.may_have_run = o.may_have_run || !never_ran;
   const Profile& profile = settings_.profiles[at(o.t.profile)];
   if (may_still_run && profile.in_order && o.t.has_key) {
@@ -509,13 +506,9 @@
   if (o.t.plan < 0) return profile.benefit;
   const Plan& plan = settings_.plans[at(o.t.plan)];
   const Volume& v = volume_of(now, o.t);
-  // Danger: a slice of the reservation is less than one transaction where a volume has many hosts, and nearly
-  // all seems to be beyond it. The meter tells what all hosts got; it is old, so a surge may pass for a
-  // second or two.
-  const bool inside = v.reserve > 0 || (now < v.use_at + kUseTime && v.use * plan.usual < plan.reservation);
   const double over = v.extra / std::max(plan.weight * unit_share_, 1e-9);
   const double part = std::max(settings_.spare_part, settings_.share_part / (1 + over));
-  o.part = (inside ? 1 : part) * profile.benefit / best_benefit_;
+  o.part = (v.reserve > 0 ? 1 : part) * profile.benefit / best_benefit_;
   return o.part * best_benefit_ * plan.benefit_factor;
 }
 
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -288,8 +288,7 @@
     r.outcome = outcome_of(line);
     r.finished = line.flag("finished");
     r.by_others = line.number("by-others", 0.0);
-    const auto use = line.number("volume-use", 0.0);
-    if (use > 0) r.volume_use = (use - 1) / 100;
+    r.metered = line.number("volume-use", 0.0) > 0;
     with_known(line, [&](int id) { control_->replied(now_, id, r); });
   }
 
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -334,8 +334,7 @@
   r.outcome = outcome;
   if (completion.arrived && s.sqe.opcode != nvme::opcode::kZoneAppend) {
     r.by_others = completion.cqe.dw0;
-    const auto use = completion.cqe.dw1 & 0xffff;
-    if (use > 0) r.volume_use = (static_cast<double>(use) - 1) / 100;
+    r.metered = (completion.cqe.dw1 & 0xffff) > 0;
   }
   if (outcome == Outcome::kHonoured && !s.answered) {
     ++counts_.honoured;
--- a/src/state.h
+++ b/src/state.h
@@ -41,7 +41,7 @@
   Outcome outcome = Outcome::kHonoured;
   bool finished = false;
   double by_others = 0;    // units that the node served the volume through other hosts
-  double volume_use = -1;  // served everywhere in a past period / usual rate; below 0: not told
+  bool metered = false;    // it told of the volume's use everywhere: what others got is known, if nothing
 };
 
 // The tables of the module.
@@ -118,8 +118,6 @@
   double mine = 0;
   double others = 0;
   bool told = false;
-  double use = 0;  // served everywhere / usual rate, as the meter told last
-  double use_at = -1e9;
   double reserve = 0;
   double extra = 0;
   double pace = 0;
