Streams and profiles that pay half for late answers have no code of their own any more

Change: both are gone; the drill passes over FIRST_BYTE, which may still come, as the wire test now shows beside second and late outcomes.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -40,7 +40,6 @@
 constexpr double kClockSlack = 1e-5;  // s by which a wake-up may seem early; hosts' clocks are rounded
 constexpr double kAnswerMargin = 0.03;  // s before the cut-off at which a held transaction is answered
 constexpr double kSlackUnit = 2.0;      // s: how little the time left counts beside the benefit
-constexpr double kLateCounts = 0.5;     // part of the benefit from which a late answer is worth its work
 constexpr double kSameCutOff = 0.01;    // s by which the cut-offs of a try and its repeat may differ
 constexpr double kPatienceDrift = 1.2;  // a second: how fast a client that left early is forgotten
 constexpr double kTrialEvery = 0.5;   // s after which late work goes as a trial; longest pause under one out
@@ -148,8 +147,7 @@
   // The contract time of a client's repeat began with its first try. Danger: clients in a hurry bring little
   // time on a first try too; so a repeat is known by what it is about and by the same cut-off as one answered
   // before.
-  const bool late_counts = profile.late_part >= kLateCounts;
-  o.contract_at = std::min(now + (late_counts ? profile.cut_off : profile.contract), o.cut_off_at);
+  o.contract_at = std::min(now + profile.contract, o.cut_off_at);
   if (now == stalled_at_) o.contract_at -= std::clamp(profile.cut_off - t.time_left, 0.0, stalled_for_);
   o.landed_at = now;
   o.draw = std::uniform_real_distribution(0.0, 1.0)(random_);
@@ -264,8 +262,6 @@
   serve(now, node.shard);
 }
 
-void Control::stream_began(double, int id) { open_[at(id)].cut_off_at = kNever; }
-
 void Control::abandoned(double now, int id) {
   Open& o = open_[at(id)];
   if (!o.over) {
--- a/src/control.h
+++ b/src/control.h
@@ -32,7 +32,6 @@
   void list_news(double now, Scope scope, const std::vector<Entry>& entries);
   void landed(double now, int transaction, const Transaction& t);
   void replied(double now, int transaction, const Reply& reply);
-  void stream_began(double now, int transaction);
   void abandoned(double now, int transaction);
   void woken(double now);
 
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -146,7 +146,6 @@
     p.contract = kMicro * line.number(at + "aim");
     p.cut_off = kMicro * line.number(at + "give-up");
     p.benefit = line.number(at + "gain", 1.0);
-    p.late_part = line.number(at + "late-worth", 0.0);
     p.label_window = kMicro * line.number(at + "dedup-window", 0.0);
     const auto effect = line.text(at + "effect");
     if (effect == "safe") p.repeat = Repeat::kRedoable;
@@ -199,7 +198,6 @@
     else if (message == "MEMBERSHIP") membership(line, lists);
     else if (message == "WAKEUP") control_->woken(now);
     else if (message == "ABANDONED") with_known(line, [&](int id) { control_->abandoned(now, id); });
-    else if (message == "FIRST_BYTE") with_known(line, [&](int id) { control_->stream_began(now, id); });
   }
 
   void dispatch(int transaction, int node, double try_for) override {
--- a/src/lab/send_all.cpp
+++ b/src/lab/send_all.cpp
@@ -115,7 +115,6 @@
   host_.forget(id);
 }
 
-void Control::stream_began(double, int) {}
 
 void Control::abandoned(double, int id) {
   open_[at(id)].over = true;
--- a/tests/wire.sh
+++ b/tests/wire.sh
@@ -19,6 +19,11 @@
 }
 
 expect "good" "$good" 0 $'HAND_OFF\twho=3\thandle=aa\tserver=10.0.0.1:80\ttry-for=100000\n'
+# A begun stream is passed over; an outcome that comes twice, or once more after the end, changes nothing.
+odd="${good%EOB*}FIRST_BYTE\twho=3\thandle=aa\ttrial=0\tserver=10.0.0.1:80\telapsed=9\nEOB\n"
+answer='RESPONSE\twho=3\thandle=aa\telapsed=9\tserver=10.0.0.1:80\ttrial=0\tfinished=1\tresult=1\n'
+odd+="SYNC\tsim-time=1010000\n${answer}${answer}ABANDONED\twho=3\thandle=aa\n${call/aa/bb}${answer}EOB\n"
+expect "odd but legal" "$odd" 0 $'HAND_OFF\twho=3\thandle=bb\tserver=10.0.0.1:80'
 expect "empty batch" 'SYNC\tsim-time=1\nEOB\n' 0 'EOR'
 expect "no input" '' 0 ''
 expect "malformed field" "${good/left=100000/left=x}" 1 "line 7: CALL: bad field 'left'"
