Nodes' answers that come twice, short or late; data asked for after its time is not sent

Seen, each by a test of nvme/host_test.cpp against a controller by hand: a completion that comes twice ended the next command under its identifier, or the connection and all on it; a success with fewer bytes than a read asked for, or for a write whose data was never asked for, passed for honoured; data asked for over and over was sent without end; a write's data went to the node after its dispatch had timed out, so that it could run long after its key had rested and a later write was done, and stayed in memory that no bound counted. Ruled out: the tokens, which end each dispatch once. Lines: HostQueue::slot, finish, ready_to_transfer. Change: each place takes a new identifier for each command, what comes for the one before is passed over (16 times a connection); a success that lacks data is an error; data goes once; a dispatch that timed out is withdrawn, and a controller that asks for its data gets a new connection once what else is out there has ended.

--- a/src/gateway/node_link.cpp
+++ b/src/gateway/node_link.cpp
@@ -57,14 +57,17 @@
 }
 
 // Danger: answers that never come keep their identifiers, until none is left and the node seems unreachable for
-// good. Once half are lost, nothing new goes out, and when all that is awaited has ended the connection is made anew.
+// good; and a write that timed out before its data was asked for would run long after its key has rested, so it never
+// gets it. Once half are lost, or such data was asked for, nothing new goes out, and when all that is awaited has ended
+// the connection is made anew. May hold others back for one time-out.
 bool NodeLink::worn_out() {
   if (!host_ || !host_->ready()) return false;
   const auto awaited = static_cast<std::ptrdiff_t>(sent_.size() - waiting_.size());
-  if (2 * (static_cast<std::ptrdiff_t>(host_->out()) - awaited) < options_.host.depth) return false;
+  const bool lost = 2 * (static_cast<std::ptrdiff_t>(host_->out()) - awaited) >= options_.host.depth;
+  if (!lost && !host_->asked_late()) return false;
   if (awaited == 0) {
     renewing_ = true;
-    host_->close("too many answers never came");
+    host_->close(lost ? "too many answers never came" : "data was asked for after its time");
   }
   return true;
 }
@@ -104,6 +107,7 @@
   const auto at = std::find(waiting_.begin(), waiting_.end(), token);
   const bool written = at == waiting_.end();
   if (!written) waiting_.erase(at);
+  else if (host_) host_->withdraw(token);
   auto node = sent_.extract(token);
   if (node) finish(std::move(node.mapped()), written ? Outcome::kTimedOut : Outcome::kNoConnection, {});
   pump();
--- a/src/nvme/host.cpp
+++ b/src/nvme/host.cpp
@@ -10,6 +10,7 @@
 constexpr std::uint64_t kInternal = ~std::uint64_t{0};      // tokens of the association's own commands
 constexpr std::uint64_t kBeat = kInternal - 1;
 constexpr std::uint16_t kAdminDepth = 32;
+constexpr int kMostRepeats = 16;  // completions that came twice at which a connection is not worth keeping
 constexpr std::uint32_t kAdminCapsule = 8192;  // Transport 3.3.2: admin commands may carry so much
 
 }  // namespace
@@ -22,7 +23,8 @@
         host_(host),
         id_(id),
         framing_(End::kHost, kMostPdu),
-        slots_(depth) {
+        slots_(depth),
+        generations_(static_cast<std::uint16_t>(0xffff / depth)) {
     for (std::uint16_t i = depth; i > 0; --i) free_.push_back(static_cast<std::uint16_t>(i - 1));
     Fd fd = connect_to(host.options_.address);
     if (!fd) {
@@ -44,17 +46,18 @@
   std::uint16_t id() const { return id_; }
 
   void submit(std::uint64_t token, Sqe sqe, SharedBytes data, std::uint32_t in, std::uint32_t capsule) {
-    const std::uint16_t cid = free_.back();
+    const std::uint16_t place = free_.back();
     free_.pop_back();
-    Slot& s = slots_[cid];
-    s = Slot{};
+    Slot& s = slots_[place];
     s.used = true;
     s.token = token;
     s.out = std::move(data);
     s.in_most = in;
-    sqe.cid = cid;
+    // FFFFh stays unused, as the error log means something else by it (Base 3.3.3.1).
+    sqe.cid = static_cast<std::uint16_t>(s.generation * slots_.size() + place);
     const std::size_t length = s.out ? s.out->size() : 0;
     const bool inside = length > 0 && length <= capsule;
+    s.given = inside ? static_cast<std::uint32_t>(length) : 0;
     sqe.flags = 0x40;
     sqe.sgl_type = inside ? kSglInCapsule : kSglTransport;
     sqe.sgl_length = static_cast<std::uint32_t>(length > 0 ? length : in);
@@ -66,6 +69,17 @@
     stream_->flush();
   }
 
+  // Nobody waits for it any more: its data is let go and not sent, and what comes for it is passed over.
+  void withdraw(std::uint64_t token) {
+    for (Slot& s : slots_) {
+      if (!s.used || s.token != token) continue;
+      s.withdrawn = true;
+      s.out.reset();
+      s.in = {};
+      return;
+    }
+  }
+
   // Completes all that is out without arrival.
   void drop_all() {
     const std::uint64_t written = stream_ ? stream_->written() : 0;
@@ -122,7 +136,11 @@
     std::uint32_t in_most = 0;
     std::uint32_t in_done = 0;
     Bytes in;
+    std::uint32_t given = 0;       // bytes of `out` that went, within the capsule or asked for
     std::uint64_t starts_at = 0;
+    std::uint16_t generation = 0;  // of its identifier, from one command to the next
+    bool before = false;           // there was a command before this one
+    bool withdrawn = false;
     bool broken = false;  // a data digest was wrong: the command fails, the connection stands
   };
 
@@ -164,11 +182,24 @@
     }
   }
 
-  Slot* slot(std::uint16_t cid) { return cid < slots_.size() && slots_[cid].used ? &slots_[cid] : nullptr; }
+  Slot* slot(std::uint16_t cid) {
+    Slot& s = slots_[cid % slots_.size()];
+    return s.used && s.generation == cid / slots_.size() ? &s : nullptr;
+  }
+
+  // Danger: a completion that comes twice ends the next command under its identifier, whose work never ran; or it
+  // ends the connection and leaves the fate of all that is out unknown. So each place takes a new identifier for
+  // each command, and what comes for the one before is passed over. May hide a broken controller for a while.
+  bool repeated(std::uint16_t cid) {
+    const Slot& s = slots_[cid % slots_.size()];
+    return s.before && cid / slots_.size() == (s.generation + generations_ - 1U) % generations_ &&
+           ++repeats_ <= kMostRepeats;
+  }
 
   bool response(const Pdu& pdu) {
     const auto cqe = read_as<CapsuleResp>(pdu.head).cqe;
     Slot* s = slot(cqe.cid);
+    if (!s && repeated(cqe.cid)) return true;
     if (!s) return refuse(Fatal::kInvalidHeaderField, 20, "a completion for no command", pdu);
     finish(*s, cqe);
     return true;
@@ -179,11 +210,16 @@
     c.arrived = true;
     c.written = true;
     c.cqe = cqe;
-    if (s.broken) c.cqe.status = status::kDataTransfer.field();
+    // Danger: a success with less data than it needs, either way, passes for honoured.
+    const bool lacks = id_ != 0 && !s.withdrawn && (s.in_done < s.in_most || (s.out && s.given < s.out->size()));
+    if (s.broken || (lacks && c.status().ok())) c.cqe.status = status::kDataTransfer.field();
     c.data = std::move(s.in);
     c.at = host_.options_.mark_arrivals ? stream_->arrived_at() : loop_.now();
     const auto token = s.token;
+    const auto next = static_cast<std::uint16_t>((s.generation + 1) % generations_);
     s = Slot{};
+    s.generation = next;
+    s.before = true;
     free_.push_back(static_cast<std::uint16_t>(&s - slots_.data()));
     host_.finished(token, std::move(c), false);
   }
@@ -191,12 +227,13 @@
   bool data(const Pdu& pdu) {
     const auto d = read_as<DataPdu>(pdu.head);
     Slot* s = slot(d.cid);
+    if (!s && repeated(d.cid)) return true;
     if (!s) return refuse(Fatal::kInvalidHeaderField, 8, "data for no command", pdu);
     if (d.length != pdu.data.size()) return refuse(Fatal::kInvalidHeaderField, 16, "DATAL against PLEN", pdu);
     if (d.offset != s->in_done || d.length > s->in_most - s->in_done)
       return refuse(Fatal::kOutOfRange, 12, "data outside the command's buffer", pdu);
     if (pdu.data_digest_wrong) s->broken = true;
-    s->in.insert(s->in.end(), pdu.data.begin(), pdu.data.end());
+    if (!s->withdrawn) s->in.insert(s->in.end(), pdu.data.begin(), pdu.data.end());
     s->in_done += d.length;
     if ((pdu.header.flags & kSuccess) != 0) {
       if ((pdu.header.flags & kLastPdu) == 0)
@@ -209,9 +246,13 @@
   bool ready_to_transfer(const Pdu& pdu) {
     const auto r = read_as<DataPdu>(pdu.head);
     Slot* s = slot(r.cid);
+    if (s && s->withdrawn) return host_.asked_late_ = true;
     if (!s || !s->out) return refuse(Fatal::kInvalidHeaderField, 8, "R2T for no write", pdu);
     if (r.length == 0 || r.offset > s->out->size() || r.length > s->out->size() - r.offset)
       return refuse(Fatal::kOutOfRange, 12, "R2T outside the command's data", pdu);
+    if (r.length > s->out->size() - s->given)
+      return refuse(Fatal::kOutOfRange, 16, "R2T for data that was asked for before", pdu);
+    s->given += r.length;
     std::uint32_t done = 0;
     while (done < r.length) {
       const std::uint32_t n = std::min(r.length - done, most_data_);
@@ -238,8 +279,10 @@
   bool up_ = false;
   bool down_ = false;
   std::uint32_t most_data_ = 4096;
-  std::vector<Slot> slots_;          // by command identifier
-  std::vector<std::uint16_t> free_;  // identifiers
+  std::vector<Slot> slots_;          // by command identifier, modulo their number
+  const std::uint16_t generations_;  // identifiers that each place has in turn
+  int repeats_ = 0;
+  std::vector<std::uint16_t> free_;  // places
 };
 
 Host::Host(Loop& loop, HostOptions options, HostOwner& owner)
@@ -267,6 +310,10 @@
   admin_->submit(token, sqe, std::move(out), in, kAdminCapsule);
 }
 
+void Host::withdraw(std::uint64_t token) {
+  if (io_) io_->withdraw(token);
+}
+
 void Host::close(const std::string& reason) { queue_lost(reason); }
 
 void Host::queue_lost(const std::string& reason) {
--- a/src/nvme/host.h
+++ b/src/nvme/host.h
@@ -64,6 +64,11 @@
   void submit(std::uint64_t token, Sqe sqe, SharedBytes out, std::uint32_t in);
   void submit_admin(std::uint64_t token, Sqe sqe, SharedBytes out, std::uint32_t in);
 
+  // Nobody waits for this command any more. It still gets its completion, but no data of it is sent: what the
+  // controller has not got yet never takes effect. asked_late(): a controller asked for it, and waits in vain.
+  void withdraw(std::uint64_t token);
+  bool asked_late() const { return asked_late_; }
+
   // Ends the connections. Commands out are completed without arrival, then `down` is told, later in this turn.
   void close(const std::string& reason);
   std::uint32_t transfer_limit() const { return transfer_limit_; }
@@ -93,6 +98,7 @@
   Loop::Timer timeout_ = 0;
   Loop::Timer beat_ = 0;
   bool beat_out_ = false;
+  bool asked_late_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/tests/nvme/host_test.cpp
@@ -0,0 +1,267 @@
+// Odd but legal, and illegal, input from a controller: what comes twice, late, short or for an identifier in use again.
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "gateway/node_link.h"
+
+using namespace heronworks;
+using namespace heronworks::nvme;
+
+namespace {
+
+// A controller by hand: lets hosts in, keeps what comes, says what it is told to.
+class RawController final {
+ public:
+  explicit RawController(Loop& loop) : loop_(loop) {
+    Fd fd = listen_on({"127.0.0.1", 0});
+    address = local_address(fd.get());
+    listener_ = std::make_unique<Listener>(loop, std::move(fd), [this](Fd c) {
+      peers.push_back(std::make_unique<Peer>(*this, std::move(c)));
+    });
+  }
+  struct Peer final : StreamOwner {
+    Peer(RawController& c, Fd fd) : owner(c), framing(End::kController, 1 << 22), stream(c.loop_, std::move(fd), *this) {}
+    std::size_t received(View bytes) override {
+      std::size_t done = 0;
+      while (true) {
+        std::size_t used = 0;
+        std::optional<FatalError> error;
+        const auto pdu = framing.next(bytes.subspan(done), used, error);
+        if (!pdu) return done;
+        owner.take(*this, *pdu);
+        done += used;
+      }
+    }
+    void lost(const std::string&) override { gone = true; }
+    void put(PduType type, auto pdu, View data = {}) {
+      pdu.header.type = static_cast<std::uint8_t>(type);
+      append_pdu(stream.out(), bytes_of(pdu), data, {});
+      stream.flush();
+    }
+    void complete(std::uint16_t cid, Status status = status::kOk, std::uint32_t dw0 = 0) {
+      CapsuleResp r;
+      r.cqe.cid = cid;
+      r.cqe.dw0 = dw0;
+      r.cqe.status = status.field();
+      put(PduType::kCapsuleResp, r);
+    }
+    void data(std::uint16_t cid, std::size_t bytes, std::uint32_t offset = 0, std::uint8_t flags = kLastPdu) {
+      DataPdu d;
+      d.header.flags = flags;
+      d.cid = cid;
+      d.offset = offset;
+      d.length = static_cast<std::uint32_t>(bytes);
+      const Bytes b(bytes, 0x5a);
+      put(PduType::kC2hData, d, b);
+    }
+    void ask(std::uint16_t cid, std::uint32_t offset, std::uint32_t length) {
+      DataPdu d;
+      d.cid = cid;
+      d.ttag = cid;
+      d.offset = offset;
+      d.length = length;
+      put(PduType::kR2t, d);
+    }
+    RawController& owner;
+    Framing framing;
+    Stream stream;
+    bool io = false;
+    bool gone = false;
+    std::vector<Sqe> came;     // I/O commands
+    std::size_t data_got = 0;  // bytes of H2CData
+  };
+
+  Peer* io() {
+    for (auto& p : peers) {
+      if (p->io && !p->gone) return p.get();
+    }
+    return nullptr;
+  }
+
+  std::vector<std::unique_ptr<Peer>> peers;
+  Address address;
+
+ private:
+  void take(Peer& p, const Pdu& pdu) {
+    const auto type = static_cast<PduType>(pdu.header.type);
+    if (type == PduType::kIcReq) {
+      InitConnection ic;
+      ic.most = 1 << 20;
+      return p.put(PduType::kIcResp, ic);
+    }
+    if (type == PduType::kH2cData) p.data_got += pdu.data.size();
+    if (type != PduType::kCapsuleCmd) return;
+    const Sqe c = read_as<CapsuleCmd>(pdu.head).sqe;
+    if (c.opcode == opcode::kFabrics && c.fabrics_type() == fabrics::kConnect) p.io = c.cdw10 >> 16 != 0;
+    if (p.io && c.opcode != opcode::kFabrics) return p.came.push_back(c);
+    if (c.opcode == opcode::kIdentify) {  // no data within capsules
+      Bytes page(4096);
+      page[1792] = 4;
+      DataPdu d;
+      d.header.flags = kLastPdu;
+      d.cid = c.cid;
+      d.length = 4096;
+      p.put(PduType::kC2hData, d, page);
+    }
+    p.complete(c.cid, status::kOk, 1);  // of Property Get: ready
+  }
+  Loop& loop_;
+  std::unique_ptr<Listener> listener_;
+};
+
+struct Ends final : gateway::NodeLinkOwner {
+  void ended(int, const gateway::Dispatch& d, Outcome o, Completion&&) override {
+    CHECK_FALSE(outcomes.contains(d.transaction));
+    outcomes[d.transaction] = o;
+  }
+  void link_changed(int, const char* event, const std::string& reason) override { events += std::string(event) + " " + reason + "\n"; }
+  std::map<int, Outcome> outcomes;
+  std::string events;
+};
+
+struct Rig {
+  Rig() : loop(clock), node(loop) {
+    gateway::NodeLink::Options o;
+    o.host.address = node.address;
+    o.host.depth = 8;
+    o.host.connect_timeout = 10;
+    link = std::make_unique<gateway::NodeLink>(loop, 0, o, ends);
+    link->open();
+    REQUIRE(until([&] { return node.io() != nullptr; }));
+  }
+  bool until(const std::function<bool()>& done) {
+    const double end = clock.now() + 20;
+    while (!done() && clock.now() < end) loop.turn(0.01);
+    return done();
+  }
+  void run(double seconds) {
+    const double end = clock.now() + seconds;
+    while (clock.now() < end) loop.turn(0.005);
+  }
+  // A read, or a write of `blocks` blocks of 4096 bytes, and the identifier under which it came.
+  std::uint16_t send(int transaction, bool write, std::uint32_t blocks = 1, double time = 10) {
+    gateway::Dispatch d;
+    d.transaction = transaction;
+    d.sent_at = clock.now();
+    d.until = clock.now() + time;
+    d.sqe.opcode = write ? opcode::kWrite : opcode::kRead;
+    d.sqe.set_blocks(blocks);
+    if (write) d.out = std::make_shared<const Bytes>(blocks * 4096);
+    else d.in = blocks * 4096;
+    REQUIRE(node.io());
+    const auto count = node.io()->came.size();
+    link->send(std::move(d));
+    REQUIRE(until([&] { return node.io() && node.io()->came.size() == count + 1; }));
+    return node.io()->came.back().cid;
+  }
+  bool over(int transaction) {
+    return until([&] { return ends.outcomes.contains(transaction); });
+  }
+  MonotonicClock clock;
+  Loop loop;
+  RawController node;
+  Ends ends;
+  std::unique_ptr<gateway::NodeLink> link;
+};
+
+}  // namespace
+
+TEST_CASE("a completion that comes twice ends nothing else, and the connection stands") {
+  Rig r;
+  for (int i = 0; i < 600; i += 2) {  // over more than all generations of an identifier's slot
+    const auto first = r.send(i, true);
+    r.node.io()->ask(first, 0, 4096);
+    r.node.io()->complete(first);
+    REQUIRE(r.over(i));
+    const auto next = r.send(i + 1, true);
+    if (i < 8) {
+      r.node.io()->complete(first);  // once more
+      r.run(0.02);
+      CHECK_FALSE(r.ends.outcomes.contains(i + 1));
+    }
+    r.node.io()->ask(next, 0, 4096);
+    r.node.io()->complete(next);
+    REQUIRE(r.over(i + 1));
+    CHECK(r.ends.outcomes[i + 1] == Outcome::kHonoured);
+  }
+  CHECK(r.ends.events.find("lost") == std::string::npos);
+  CHECK(r.link->out() == 0);
+}
+
+TEST_CASE("a completion for what was never asked ends the connection, and each dispatch on it once") {
+  Rig r;
+  r.send(1, false);
+  r.node.io()->complete(0xfff0);
+  REQUIRE(r.over(1));
+  CHECK(r.ends.outcomes[1] == Outcome::kReset);
+  CHECK(r.link->out() == 0);
+}
+
+TEST_CASE("a read with fewer bytes than asked for, or a write whose data was not taken, is not honoured") {
+  Rig r;
+  auto cid = r.send(1, false, 2);
+  r.node.io()->data(cid, 4096);
+  r.node.io()->complete(cid);
+  REQUIRE(r.over(1));
+  CHECK(r.ends.outcomes[1] == Outcome::kError);
+  cid = r.send(2, false, 2);
+  r.node.io()->data(cid, 4096, 0, 0);
+  r.node.io()->data(cid, 4096, 4096, kLastPdu | kSuccess);
+  REQUIRE(r.over(2));
+  CHECK(r.ends.outcomes[2] == Outcome::kHonoured);
+  cid = r.send(3, true, 2);
+  r.node.io()->ask(cid, 0, 4096);
+  r.node.io()->complete(cid);
+  REQUIRE(r.over(3));
+  CHECK(r.ends.outcomes[3] == Outcome::kError);
+  cid = r.send(4, true, 2);
+  r.node.io()->ask(cid, 4096, 4096);  // parts in any order
+  r.node.io()->ask(cid, 0, 4096);
+  REQUIRE(r.until([&] { return r.node.io()->data_got == 3 * 4096; }));
+  r.node.io()->complete(cid);
+  REQUIRE(r.over(4));
+  CHECK(r.ends.outcomes[4] == Outcome::kHonoured);
+  CHECK(r.ends.events.find("lost") == std::string::npos);
+}
+
+TEST_CASE("data asked for again and again ends the connection and is not sent without end") {
+  Rig r;
+  const auto cid = r.send(1, true, 2);
+  for (int i = 0; i < 50; ++i) r.node.io()->ask(cid, 0, 8192);
+  REQUIRE(r.over(1));
+  CHECK(r.ends.outcomes[1] == Outcome::kReset);
+  CHECK(r.node.peers.back()->data_got <= 8192);
+}
+
+TEST_CASE("data asked for after the dispatch timed out is not sent; the connection is made anew once all has ended") {
+  Rig r;
+  const auto late = r.send(1, true, 2, 0.05);
+  REQUIRE(r.over(1));
+  CHECK(r.ends.outcomes[1] == Outcome::kTimedOut);
+  const auto other = r.send(2, false);
+  auto* first = r.node.io();
+  first->ask(late, 0, 8192);
+  r.run(0.05);
+  CHECK(first->data_got == 0);
+  CHECK_FALSE(r.ends.outcomes.contains(2));  // what else is out there goes on
+  first->data(other, 4096);
+  first->complete(other);
+  REQUIRE(r.over(2));
+  CHECK(r.ends.outcomes[2] == Outcome::kHonoured);
+  REQUIRE(r.until([&] { return first->gone; }));
+  // The next one goes by a new connection, whether it came before or after.
+  gateway::Dispatch d;
+  d.transaction = 3;
+  d.until = r.clock.now() + 10;
+  d.sqe.opcode = opcode::kRead;
+  d.in = 4096;
+  r.link->send(std::move(d));
+  REQUIRE(r.until([&] { return r.node.io() && r.node.io()->came.size() == 1; }));
+  r.node.io()->data(r.node.io()->came[0].cid, 4096);
+  r.node.io()->complete(r.node.io()->came[0].cid);
+  REQUIRE(r.over(3));
+  CHECK(r.ends.outcomes[3] == Outcome::kHonoured);
+  CHECK(r.link->out() == 0);
+  CHECK(r.link->waiting() == 0);
+}
