An answer that waits for its entry goes in time, also behind one that may wait longer

Seen: a test with a disk that is full: behind a read that may wait 8 s for its entry, one whose client has 1 s was answered after 8. Ruled out: the pressure's hold_until, which told the right time for each. Lines: Scheduler::enter, which set the first look to the first answer's own time; later looks came each 10 ms. Change: the first look comes as soon. Result: the test fails before (both answers ahead, after 8 s), passes now.

--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -12,6 +12,7 @@
 
 constexpr double kReportEvery = 1.0;  // s between two lines of counts in the log
 constexpr double kBeat = 0.02;        // s between two looks at the sockets, at most
+constexpr double kWaitingLook = 0.01; // s between two looks at answers that wait: later ones may have to go earlier
 constexpr std::uint64_t kOwnLabel = std::uint64_t{1} << 63;  // set in labels that a scheduler gives itself
 
 nvme::TargetOptions target_options(const config::GatewayConfig& c) {
@@ -372,7 +373,7 @@
   const double until = keeper_->pressure().hold_until(now(), s.landed_at + profile.contract, s.landed_at + s.t.time_left);
   waiting_.push_back({ticket, until, s.connection, s.sqe.cid, result, std::move(data)});
   mark_answered(s);
-  if (waiting_timer_ == 0) waiting_timer_ = loop_.at(until, [this] { look_at_waiting(); });
+  if (waiting_timer_ == 0) waiting_timer_ = loop_.at(std::min(until, loop_.now() + kWaitingLook), [this] { look_at_waiting(); });
 }
 
 void Scheduler::entered(std::uint64_t ticket) {
@@ -398,8 +399,7 @@
       next = std::min(next, w.until);
     }
   }
-  // Later ones may have to go earlier; a look each 10 ms at least costs little and is exact enough.
-  if (!waiting_.empty()) waiting_timer_ = loop_.at(std::min(next, loop_.now() + 0.01), [this] { look_at_waiting(); });
+  if (!waiting_.empty()) waiting_timer_ = loop_.at(std::min(next, loop_.now() + kWaitingLook), [this] { look_at_waiting(); });
 }
 
 void Scheduler::ledger_state(bool read_only, const std::string& reason) {
--- a/tests/gateway/ledger_test.cpp
+++ b/tests/gateway/ledger_test.cpp
@@ -1,6 +1,8 @@
 // The running scheduler with a ledger: an entry before each answer, one bill for a client's tries, nothing lost by a drain.
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
+#include <csignal>
 #include <filesystem>
 
 #include "ledger/reading.h"
@@ -29,6 +31,38 @@
 
 }  // namespace
 
+TEST_CASE("with a ledger whose disk is full: no answer waits for one that may wait longer") {
+  const std::string folder = scratch("ledger-full");
+  std::filesystem::remove_all(folder);
+  std::signal(SIGXFSZ, SIG_IGN);
+  Rig r;
+  r.config.ledger.folder = folder;
+  r.config.settings.profiles[0].contract = 8;
+  r.config.settings.profiles[0].cut_off = 20;
+  r.start();
+  auto& c = r.client();
+  r.nodes[0]->answers.reset();
+  c.read(1, 0, 1, 20);
+  c.read(2, 1, 1, 1);
+  REQUIRE(r.until([&] { return r.nodes[0]->came.size() == 2; }));
+  rlimit before{};
+  ::getrlimit(RLIMIT_FSIZE, &before);
+  const rlimit full{1, before.rlim_max};
+  ::setrlimit(RLIMIT_FSIZE, &full);
+  r.nodes[0]->answer(0);
+  r.nodes[0]->answer(1);
+  const bool second = r.until([&] { return c.answers.contains(2); });
+  const bool first = c.answers.contains(1);
+  ::setrlimit(RLIMIT_FSIZE, &before);
+  CHECK(second);
+  CHECK_FALSE(first);
+  CHECK(r.scheduler->counts().ahead == 1);
+  REQUIRE(r.until([&] { return c.answers.contains(1); }));
+  CHECK(c.count(st::kOk) == 2);
+  REQUIRE(r.until([&] { return Entries(folder).all.size() == 2; }));
+  CHECK(r.scheduler->open() == 0);
+}
+
 TEST_CASE("with a ledger: what is answered is entered, tries of one identity bill once, a restart knows them") {
   const std::string folder = scratch("ledger");
   std::filesystem::remove_all(folder);
