A label tells one volume's transactions apart; whether a client gave one is kept, not read from a bit

Seen: a test in which two tenants' volumes pick the same label: the second one's honoured work was entered as a repeat of the first one's and billed nothing. A client's label with the top bit set passed for none, so its tries were billed twice. Ruled out: the stand-ins' repeats, which are the nodes'. Lines: Book::honoured and remember, keyed by label alone; reconcile's groups; Scheduler::enter, which took a bit of the label for the scheduler's own. Left open: one volume that reuses a label within the time remembered pays once; the entries show it as repeats.

--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -226,7 +226,8 @@
   s.rule = matched->rule;
   s.t = t;
   s.landed_at = now();
-  if (s.sqe.label() == 0) s.sqe.set_label(++own_label_);
+  s.unnamed = s.sqe.label() == 0;
+  if (s.unnamed) s.sqe.set_label(++own_label_);
   if (!reads) s.data = std::make_shared<const nvme::Bytes>(std::move(c.data));
   bytes_ += s.data ? s.data->size() : 0;
   by_client_[c.connection].insert(id);
@@ -356,7 +357,7 @@
   const double hosts = std::max(s.t.hosts, 1);
   ledger::Use use;
   use.identity = s.sqe.label();
-  use.unnamed = (s.sqe.label() & kOwnLabel) != 0;
+  use.unnamed = s.unnamed;
   use.tenant = matcher_.tenant_of(s.sqe.nsid);
   use.volume = s.sqe.nsid;
   use.plan = config_.plan_names[static_cast<std::size_t>(s.t.plan)];
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -72,6 +72,7 @@
   struct Slot {
     bool used = false;
     bool answered = false;
+    bool unnamed = false;  // its client gave no label
     nvme::ConnectionId connection = 0;
     nvme::Sqe sqe;
     nvme::SharedBytes data;
--- a/src/ledger/book.cpp
+++ b/src/ledger/book.cpp
@@ -46,7 +46,8 @@
 bool Book::restore(std::string_view snapshot) {
   wire::State s;
   if (!s.ParseFromArray(snapshot.data(), static_cast<int>(snapshot.size())) || s.digest().size() != 32 ||
-      s.identities_size() != s.numbers_size() || s.identities_size() != s.times_size() || s.period_length() <= 0)
+      s.identities_size() != s.numbers_size() || s.identities_size() != s.times_size() ||
+      s.identities_size() != s.volumes_size() || s.period_length() <= 0)
     return false;
   ledger_ = s.ledger();
   entries_ = s.entries();
@@ -60,8 +61,9 @@
   known_.clear();
   order_.clear();
   for (int i = 0; i < s.identities_size(); ++i) {
-    known_[s.identities(i)] = s.numbers(i);
-    order_.push_back({s.times(i), s.identities(i)});
+    const Key key{s.identities(i), s.volumes(i)};
+    known_[key] = s.numbers(i);
+    order_.push_back({s.times(i), key});
   }
   return true;
 }
@@ -78,8 +80,9 @@
   s.set_digest(std::string(text(digest_)));
   s.set_period_length(period_length_);
   for (const Known& k : order_) {
-    s.add_identities(k.identity);
-    s.add_numbers(known_.at(k.identity));
+    s.add_identities(k.key.identity);
+    s.add_volumes(k.key.volume);
+    s.add_numbers(known_.at(k.key));
     s.add_times(k.at);
   }
   return s.SerializeAsString();
@@ -102,7 +105,7 @@
     if (e.repeat_of() == 0) units_ += e.units();
     else ++repeats_;
     digest_ = hasher_.chained(digest_, bytes);
-    if (e.repeat_of() == 0 && !e.unnamed()) remember(e.identity(), e.number());
+    if (e.repeat_of() == 0 && !e.unnamed()) remember({e.identity(), e.volume()}, e.number());
   } else if (r.has_closed()) {
     const wire::Closed& c = r.closed();
     if (c.period() < period_) return "period " + std::to_string(c.period()) + " is closed twice";
@@ -198,28 +201,28 @@
     }
   }
   // A client that tries again what was honoured already pays once.
-  const auto before = use.unnamed ? known_.end() : known_.find(use.identity);
+  const auto before = use.unnamed ? known_.end() : known_.find({use.identity, use.volume});
   if (before != known_.end()) {
     e.set_repeat_of(before->second);
     ++repeats_;
   } else {
     units_ += use.units;
-    if (!use.unnamed) remember(use.identity, entries_);
+    if (!use.unnamed) remember({use.identity, use.volume}, entries_);
   }
   out.push_back(r.SerializeAsString());
   digest_ = hasher_.chained(digest_, out.back());
 }
 
-void Book::remember(std::uint64_t identity, std::uint64_t number) {
-  if (!known_.emplace(identity, number).second) return;
-  order_.push_back({time_, identity});
+void Book::remember(const Key& key, std::uint64_t number) {
+  if (!known_.emplace(key, number).second) return;
+  order_.push_back({time_, key});
   forget();
 }
 
 void Book::forget() {
   while (!order_.empty() && (order_.front().at < time_ - nanoseconds(options_.remembers) || order_.size() > options_.identities)) {
     if (order_.front().at >= time_ - nanoseconds(options_.remembers)) ++forgotten_;
-    known_.erase(order_.front().identity);
+    known_.erase(order_.front().key);
     order_.pop_front();
   }
 }
--- a/src/ledger/book.h
+++ b/src/ledger/book.h
@@ -24,7 +24,7 @@
 
 struct BookOptions {
   double period = 3600;          // s
-  double remembers = 60;         // s for which a client's identity is known
+  double remembers = 60;         // s for which a client's identity of a volume's transaction is known
   std::size_t identities = 200000;  // at most; the oldest are forgotten, and reconciliation finds their repeats
 };
 
@@ -82,7 +82,16 @@
 
  private:
   void close_up_to(std::int64_t time, std::vector<std::string>& out);
-  void remember(std::uint64_t identity, std::uint64_t number);
+  // Clients pick identities each on their own: they tell one volume's transactions apart, not two volumes'.
+  struct Key {
+    std::uint64_t identity = 0;
+    std::uint32_t volume = 0;
+    bool operator==(const Key&) const = default;
+  };
+  struct KeyHash {
+    std::size_t operator()(const Key& k) const { return k.identity ^ k.volume * 0x9e3779b97f4a7c15ULL; }
+  };
+  void remember(const Key& key, std::uint64_t number);
   void forget();
   std::int64_t period_of(std::int64_t time) const { return time / period_length_; }
 
@@ -99,9 +108,9 @@
   Hasher hasher_;
   struct Known {
     std::int64_t at;
-    std::uint64_t identity;
+    Key key;
   };
-  std::unordered_map<std::uint64_t, std::uint64_t> known_;  // identity to number; emptied by forget()
+  std::unordered_map<Key, std::uint64_t, KeyHash> known_;  // to the entry's number; emptied by forget()
   std::deque<Known> order_;
   std::uint64_t forgotten_ = 0;
 };
--- a/src/ledger/reconcile.cpp
+++ b/src/ledger/reconcile.cpp
@@ -23,7 +23,7 @@
   std::uint32_t volume = 0;
   std::uint32_t tenant = 0;
   std::int32_t ledger = -1;  // place among the folders; -1: a client
-  auto key() const { return std::tie(identity, at, ledger, entry); }
+  auto key() const { return std::tie(identity, volume, at, ledger, entry); }
 };
 
 class Runs {
@@ -165,7 +165,7 @@
       return false;
     }
   }
-  std::vector<Item> group;  // of one identity; as many as billed it
+  std::vector<Item> group;  // of one identity and volume; as many as billed it
   const auto close = [&] {
     if (group.empty()) return;
     ++result.identities;
@@ -209,7 +209,7 @@
     group.clear();
   };
   runs.merge([&](const Item& i) {
-    if (!group.empty() && group.front().identity != i.identity) close();
+    if (!group.empty() && (group.front().identity != i.identity || group.front().volume != i.volume)) close();
     group.push_back(i);
   });
   close();
--- a/tests/gateway/ledger_test.cpp
+++ b/tests/gateway/ledger_test.cpp
@@ -31,6 +31,34 @@
 
 }  // namespace
 
+TEST_CASE("with a ledger: two volumes may pick one label, and a label may have any bit set; each work bills once") {
+  const std::string folder = scratch("ledger-labels");
+  std::filesystem::remove_all(folder);
+  Rig r("[[volumes]]\nfirst = 2\nplan = \"base\"\ntenant = \"other\"\n");
+  r.config.ledger.folder = folder;
+  r.start();
+  auto& c = r.client();
+  const std::uint64_t top = std::uint64_t{1} << 63;
+  c.read(1, 5, 2);
+  REQUIRE(r.until([&] { return c.answers.size() == 1; }));
+  nvme::Sqe q;
+  q.opcode = nvme::opcode::kRead;
+  q.nsid = 2;
+  q.set_blocks(2);
+  q.set_label(1001);
+  c.host->submit(2, q, nullptr, 2 * 4096);
+  REQUIRE(r.until([&] { return c.answers.size() == 2; }));
+  c.read(top, 5);
+  REQUIRE(r.until([&] { return c.answers.size() == 3; }));
+  c.read(top, 5);
+  REQUIRE(r.until([&] { return Entries(folder).all.size() == 4; }));
+  const auto all = Entries(folder).all;
+  CHECK(all[1].tenant() == "other");
+  CHECK(all[1].repeat_of() == 0);
+  CHECK_FALSE(all[2].unnamed());
+  CHECK(all[3].repeat_of() == 3);
+}
+
 TEST_CASE("with a ledger whose disk is full: no answer waits for one that may wait longer") {
   const std::string folder = scratch("ledger-full");
   std::filesystem::remove_all(folder);
