--- a/bench/tenants.cpp
+++ b/bench/tenants.cpp
@@ -86,6 +86,8 @@
   Rig r("[[volumes]]\nfirst = 2\nplan = \"base\"\n");
   auto& s = r.config.settings;
   s.plans[0].usual = s.plans[0].reservation = kQuietRate;
+  s.share_part = 0.35;
+  s.spare_part = 0.1;
   s.plans.push_back(s.plans[0]);
   s.plans[1].usual = s.plans[1].reservation = 20;
   r.config.plan_names.push_back("small");
