--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -177,7 +177,7 @@
   const auto& profile = day_.settings.profiles[static_cast<std::size_t>(std::clamp(job.profile, 0, static_cast<int>(day_.settings.profiles.size()) - 1))];
   if (profile.repeat == Repeat::kLabelled && job.write) {
     std::erase_if(done_, [&](const auto& d) { return d.second.at < now - profile.label_window; });
-    job.repeat = done_.contains(sqe.label());
+    job.repeat = done_.contains({sqe.nsid, sqe.label()});
     if (job.repeat) job.cost *= 1 - day_.repeat_saving;
   }
   if (queue_.size() >= static_cast<std::size_t>(day_.queue)) {
@@ -258,7 +258,7 @@
   e.write = job.write ? 1 : 0;
   if (job.repeat) {
     e.outcome = "repeat";
-    result = done_[sqe.label()].result;
+    result = done_[{sqe.nsid, sqe.label()}].result;
   } else if (job.write) {
     std::uint64_t lba = sqe.slba();
     if (sqe.opcode == nvme::opcode::kZoneAppend) {
@@ -271,7 +271,7 @@
     std::memcpy(to->data(), job.c.data.data(), job.c.data.size());
     e.hash = XXH3_64bits(job.c.data.data(), job.c.data.size());
     const auto& profile = day_.settings.profiles[static_cast<std::size_t>(std::clamp(job.profile, 0, static_cast<int>(day_.settings.profiles.size()) - 1))];
-    if (profile.repeat == Repeat::kLabelled) done_[sqe.label()] = {loop_.now(), result};
+    if (profile.repeat == Repeat::kLabelled) done_[{sqe.nsid, sqe.label()}] = {loop_.now(), result};
   } else {
     const auto from = disk_.at(volume, sqe.slba(), sqe.blocks());
     data.assign(from->begin(), from->end());
--- a/src/lab/node.h
+++ b/src/lab/node.h
@@ -86,7 +86,7 @@
   double still_until_ = 0;
   double deferred_ = 0;  // s of one core that the next flush does
   std::deque<std::pair<double, double>> pushed_;     // time and cost of what came while cold; of one fall time
-  std::map<std::uint64_t, Done> done_;               // by label; emptied of what is older than the window
+  std::map<std::pair<std::uint32_t, std::uint64_t>, Done> done_;  // by namespace and label; emptied of what is older than the window
   std::map<std::pair<int, int>, std::uint64_t> told_;  // by volume and scheduler: units of others at the last answer
   std::vector<std::uint64_t> served_;                // by volume
   std::map<std::pair<int, int>, std::uint64_t> served_for_;  // by volume and scheduler
