A scheduler that was killed and is back does not spend its part of a cold node again

Seen: in a world of orderings with a kill, a cold node that bears 10 units in a fall time got 12, in turns (two schedulers) and by even parts (one): 6 before the kill and 6 at once after it. Ruled out: the store by past (empty after a start) and the clock (the node came up before both processes). Lines at fault: control.cpp, cold_room: cold_sent is the process's own, and a killed process forgets it. Slices of limits had that defence, this rule had not. Now nothing of the safe number goes for one fall time after a start to what came up before it. May hurt: the first seconds of a scheduler that starts beside a cold node.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -49,6 +49,7 @@
     0.1;  // weight of the newest in what follows few events: further dispatches, all bad replies
 constexpr double kTurnTime = 1.25;  // turn at a cold node, in fall times; a window meets one turn only
 constexpr double kTurnPart = 0.2;   // part of the fall time in which the scheduler in turn sends
+constexpr double kColdSpan = 1.05;  // of the fall time for which what was sent counts; clocks differ a little
 constexpr double kGapGrows = 2;     // gap after a bad reply, in gaps before
 constexpr double kBadPart =
     0.25;  // part of bad replies of all nodes from which one makes a gap and work is thinned
@@ -687,9 +688,12 @@
   const double part = kColdPart * settings_.tip_multiple * (share + (1 - share) * age);
   node.cold_store = std::min(node.cold_store + (now - node.cold_at) * part * usual, settings_.largest_units);
   node.cold_at = now;
-  std::erase_if(node.cold_sent, [&](const Sent& s) { return s.at < now - settings_.fall_time * 1.05; });
+  std::erase_if(node.cold_sent, [&](const Sent& s) { return s.at < now - settings_.fall_time * kColdSpan; });
   double sent = 0;
   for (const Sent& s : node.cold_sent) sent += s.units;
+  // Danger: a scheduler that is killed and back at once has spent its part and forgotten it. So for one fall time
+  // it sends none of the safe number to what came up before it. May hurt a first second after a start.
+  if (node.came_up <= started_ && now < started_ + settings_.fall_time * kColdSpan) return node.cold_store;
   const int schedulers = std::max(settings_.schedulers, 1);
   const double turn_time = kTurnTime * settings_.fall_time;
   const double turn = std::floor(std::max(now - node.came_up, 0.0) / turn_time);
--- a/tests/orderings/orderings_test.cpp
+++ b/tests/orderings/orderings_test.cpp
@@ -190,6 +190,21 @@
   CHECK(seen.cold_sends > 0);
 }
 
+TEST_CASE("rule 4: a scheduler that is killed and back at once does not spend its part of a cold node again") {
+  for (const int schedulers : {2, 1}) {  // in turn; with an even part
+    Script s = cold();
+    s.schedulers = schedulers;
+    s.settings.cold_units = 10;
+    s.warm_rate = 10 / (s.settings.tip_multiple * s.settings.cold_share * s.settings.fall_time);
+    for (int i = 0; i < 4; ++i) s.landings.push_back({0, work(kRead, 0, 1, 1 + static_cast<std::uint64_t>(i), 3)});
+    s.kills = 1;
+    s.passes = {0.02, 0.3, 0.35};
+    const Seen seen = play("cold node, scheduler killed", s);
+    CHECK(seen.killed > 0);
+    CHECK(seen.cold_sends > 0);
+  }
+}
+
 TEST_CASE("rule 4: the same where a node's clock is ahead, so that it comes up later than now") {
   Script s = cold();
   s.nodes = {entry(0, 0, Listing::kReady, 100.4), entry(1, 1)};
