A labelled repeat that waits for its connection does not leave after its window

Seen: with a repeat window of 0.4 s, a write whose connection broke went out again 0.8 s later, when the node took connections again (came 2 times for 1), as an effect that no node knows for a repeat any more. Ruled out: the look at the window in may_go_again (it held, at 0.03 s) and the link's drain. Lines at fault: control.cpp, decide: the dispatch was given until its contract time, and a link may keep it so long before it writes. Now a repeat times out at the end of its window; what was not written by then is known not to have run. Measured: the test fails before, passes after.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -366,7 +366,10 @@
   // has timed out unbegun. Acts in any crowd; as answers a little late earn something too, the fewer replies
   // are bad the longer they are waited for, up to one tightest contract time more.
   const double calm = std::max(1 - bad_part_ / kBadPart, 0.0);
-  host_.dispatch(id, index, std::min(o.contract_at + calm * tightest_, o.cut_off_at) - now);
+  double until = std::min(o.contract_at + calm * tightest_, o.cut_off_at);
+  // Danger: a repeat that waits for its connection leaves when nobody knows it for a repeat any more.
+  if (o.may_have_run && profile.repeat == Repeat::kLabelled) until = std::min(until, o.label_until);
+  host_.dispatch(id, index, until - now);
   return Verdict::kGone;
 }
 
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -123,6 +123,33 @@
   CHECK(r.nodes[0]->came.size() == 1);
 }
 
+TEST_CASE("a labelled write that waits for its connection is not sent once its window is over") {
+  Rig r;
+  r.config.settings.profiles[1].label_window = 0.4;
+  r.config.settings.profiles[1].contract = 1.5;
+  r.config.connect_timeout = 10;
+  r.start();
+  auto& c = r.client();
+  r.nodes[0]->answers.reset();
+  c.write(1, 0);
+  REQUIRE(r.until([&] { return r.nodes[0]->came.size() == 1; }));
+  // Its connection breaks; the next one is accepted by nobody until the window is over.
+  const Address at = r.nodes[0]->address;
+  r.nodes[0]->target.reset();
+  {
+    const Fd mute = listen_on(at);
+    REQUIRE(bool(mute));
+    r.run(0.8);
+    r.nodes[0]->answers = st::kOk;
+    nvme::TargetOptions o;
+    o.subsystem = "nqn.2026-11.org.heronworks:node";
+    r.nodes[0]->target = std::make_unique<nvme::Target>(r.loop, Fd(::dup(mute.get())), o, *r.nodes[0]);
+  }
+  REQUIRE(r.until([&] { return c.answers.size() == 1; }));
+  CHECK(c.status(1) == st::kInternalPath);
+  CHECK(r.nodes[0]->came.size() == 1);
+}
+
 TEST_CASE("a full node's word lets even an append go again; an error does not") {
   Rig r;
   r.start();
