Data of no bytes after a write's last does not run it again; a read in a capsule is refused

Seen: an H2CData of length 0 at the end of a write's data had the command run a second time, without its data: two landings for one command, and the second answer could have ended the next command of that identifier. Ruled out: data of some bytes there (refused as out of range) and the host's end (it asks, it is not asked). Lines at fault: target.cpp, data(): got == want led to run() whether it had run or not. Now only what is still awaited is taken. capsule(): a read whose SGL says that its data is in the capsule was served and answered with success and no data; now 0/11h. Measured: the test fails before in three checks (2 landings for 1), passes after.

--- a/src/nvme/target.cpp
+++ b/src/nvme/target.cpp
@@ -211,7 +211,8 @@
     const bool sends = io ? c.opcode == opcode::kWrite || c.opcode == opcode::kZoneAppend
                           : c.opcode == opcode::kFabrics && c.fabrics_type() == fabrics::kConnect;
     const std::uint32_t most = std::uint32_t{4096} << target_.options_.mdts;
-    if (c.sgl_type != kSglInCapsule && c.sgl_type != kSglTransport && c.sgl_length > 0) {
+    const bool has_place = c.sgl_type == kSglTransport || (c.sgl_type == kSglInCapsule && sends);
+    if (!has_place && c.sgl_length > 0) {
       complete(c.cid, status::kInvalidSgl, 0, {});
       return true;
     }
@@ -273,7 +274,8 @@
   bool data(const Pdu& pdu) {
     const auto d = read_as<DataPdu>(pdu.head);
     const auto found = out_.find(d.cid);
-    if (found == out_.end() || found->second.asked == 0 || d.ttag != d.cid)
+    // Danger: data of no bytes after the last would run the write once more, without its data.
+    if (found == out_.end() || found->second.got == found->second.asked || d.ttag != d.cid)
       return refuse(Fatal::kInvalidHeaderField, found == out_.end() ? 8 : 10, "data that was not asked for", pdu);
     Out& o = found->second;
     if (d.length != pdu.data.size()) return refuse(Fatal::kInvalidHeaderField, 16, "DATAL against PLEN", pdu);
--- a/tests/gateway/peer_test.cpp
+++ b/tests/gateway/peer_test.cpp
@@ -113,6 +113,36 @@
   CHECK(nvme::Status::from(q.io.completions()[2].status).ok());
 }
 
+TEST_CASE("data beyond a write's end, or none at all, does not run it again; a read needs a buffer of its own") {
+  Rig r;
+  r.start();
+  r.nodes[0]->answers.reset();
+  RawQueue q(r);
+  nvme::Sqe w = q.read(3);
+  w.opcode = nvme::opcode::kWrite;
+  w.sgl_type = nvme::kSglInCapsule;
+  const nvme::Bytes block(4096, 1);
+  q.io.command(w, block);
+  REQUIRE(r.until([&] { return r.nodes[0]->came.size() == 1; }));
+  nvme::DataPdu d;  // of no bytes, where the next would stand
+  d.header.type = static_cast<std::uint8_t>(nvme::PduType::kH2cData);
+  d.cid = d.ttag = 3;
+  d.offset = 4096;
+  nvme::Bytes out;
+  nvme::append_pdu(out, nvme::bytes_of(d), {}, {});
+  q.io.stream.send(out);
+  r.until([&] { return q.io.gone || r.scheduler->counts().landed > 1; });
+  CHECK(r.scheduler->counts().landed == 1);
+  CHECK(q.io.gone);  // that is no part of the protocol: it ends the connection, and nothing else
+  CHECK(r.nodes[0]->came.size() == 1);
+  RawQueue other(r);
+  nvme::Sqe bad = other.read(4);
+  bad.sgl_type = nvme::kSglInCapsule;
+  other.io.command(bad);
+  REQUIRE(r.until([&] { return other.io.completions().size() == 2; }));
+  CHECK(nvme::Status::from(other.io.completions()[1].status) == st::kInvalidSgl);
+}
+
 TEST_CASE("10,000 commands without reading an answer: that client waits, the others do not") {
   Rig r;
   r.start();
