A completion that comes again after other commands is passed over as well

Seen: identifiers told a repeat from the next command only for the last command of a place; as places were reused last in, first out, a completion that came again two commands later ended the connection and left all on it with an unknown fate. Lines at fault: host.cpp, repeated() and free_. Places take turns now, and whatever identifier a place has had is known; at most 16 repeats a connection, as before. With 128 places and 511 identifiers each, one comes again after 65,000 commands, not after 511. Measured: the new test ends with a lost connection before; after, 16 repeats of 20 commands end nothing.

--- a/src/nvme/host.cpp
+++ b/src/nvme/host.cpp
@@ -25,7 +25,7 @@
         framing_(End::kHost, kMostPdu),
         slots_(depth),
         generations_(static_cast<std::uint16_t>(0xffff / depth)) {
-    for (std::uint16_t i = depth; i > 0; --i) free_.push_back(static_cast<std::uint16_t>(i - 1));
+    for (std::uint16_t i = 0; i < depth; ++i) free_.push_back(i);
     Fd fd = connect_to(host.options_.address);
     if (!fd) {
       const std::string reason = std::strerror(errno);
@@ -46,8 +46,8 @@
   std::uint16_t id() const { return id_; }
 
   void submit(std::uint64_t token, Sqe sqe, SharedBytes data, std::uint32_t in, std::uint32_t capsule) {
-    const std::uint16_t place = free_.back();
-    free_.pop_back();
+    const std::uint16_t place = free_.front();
+    free_.pop_front();
     Slot& s = slots_[place];
     s.used = true;
     s.token = token;
@@ -139,7 +139,7 @@
     std::uint32_t given = 0;       // bytes of `out` that went, within the capsule or asked for
     std::uint64_t starts_at = 0;
     std::uint16_t generation = 0;  // of its identifier, from one command to the next
-    bool before = false;           // there was a command before this one
+    bool wrapped = false;          // it has had all of them
     bool withdrawn = false;
     bool broken = false;  // a data digest was wrong: the command fails, the connection stands
   };
@@ -189,11 +189,13 @@
 
   // Danger: a completion that comes twice ends the next command under its identifier, whose work never ran; or it
   // ends the connection and leaves the fate of all that is out unknown. So each place takes a new identifier for
-  // each command, and what comes for the one before is passed over. May hide a broken controller for a while.
+  // each command, the places take turns, and what comes for one that a place has had is passed over. May hide a
+  // broken controller for a while.
   bool repeated(std::uint16_t cid) {
     const Slot& s = slots_[cid % slots_.size()];
-    return s.before && cid / slots_.size() == (s.generation + generations_ - 1U) % generations_ &&
-           ++repeats_ <= kMostRepeats;
+    const auto generation = cid / slots_.size();
+    const bool had = s.wrapped ? generation < generations_ && generation != s.generation : generation < s.generation;
+    return had && ++repeats_ <= kMostRepeats;
   }
 
   bool response(const Pdu& pdu) {
@@ -217,9 +219,10 @@
     c.at = host_.options_.mark_arrivals ? stream_->arrived_at() : loop_.now();
     const auto token = s.token;
     const auto next = static_cast<std::uint16_t>((s.generation + 1) % generations_);
+    const bool wrapped = s.wrapped || next == 0;
     s = Slot{};
     s.generation = next;
-    s.before = true;
+    s.wrapped = wrapped;
     free_.push_back(static_cast<std::uint16_t>(&s - slots_.data()));
     host_.finished(token, std::move(c), false);
   }
@@ -282,7 +285,7 @@
   std::vector<Slot> slots_;          // by command identifier, modulo their number
   const std::uint16_t generations_;  // identifiers that each place has in turn
   int repeats_ = 0;
-  std::vector<std::uint16_t> free_;  // places
+  std::deque<std::uint16_t> free_;   // places, that which was free for longest first
 };
 
 Host::Host(Loop& loop, HostOptions options, HostOwner& owner)
--- a/tests/nvme/host_test.cpp
+++ b/tests/nvme/host_test.cpp
@@ -192,6 +192,25 @@
   CHECK(r.link->out() == 0);
 }
 
+TEST_CASE("a completion that comes again after other commands, from any place, ends nothing") {
+  Rig r;
+  std::vector<std::uint16_t> had;
+  for (int i = 0; i < 20; ++i) {
+    had.push_back(r.send(i, false));
+    r.node.io()->data(had.back(), 4096);
+    r.node.io()->complete(had.back());
+    REQUIRE(r.over(i));
+  }
+  r.send(20, false);
+  for (std::size_t i = 0; i < 16; ++i) r.node.io()->complete(had[i]);
+  r.run(0.05);
+  CHECK(r.ends.outcomes.size() == 20);
+  CHECK(r.ends.events.find("lost") == std::string::npos);
+  r.node.io()->complete(had[0]);  // one too many: not worth keeping
+  REQUIRE(r.over(20));
+  CHECK(r.ends.outcomes[20] == Outcome::kReset);
+}
+
 TEST_CASE("a completion for what was never asked ends the connection, and each dispatch on it once") {
   Rig r;
   r.send(1, false);
