--- a/src/lab/node.h
+++ b/src/lab/node.h
@@ -27,6 +27,7 @@
   // `fallen` is called once the node was pushed over; it has closed its connections by then.
   StandInNode(Loop& loop, const Day& day, const NodeOptions& options, Recorder& record, std::function<void()> fallen);
 
+  Address address() const { return target_->address(); }
   nvme::Status identify(std::uint8_t cns, std::uint8_t csi, std::uint32_t nsid, nvme::Bytes& page) override;
   void command(nvme::Command&& command) override;
   void log_page(nvme::ConnectionId connection, std::uint16_t cid, std::uint8_t page, std::uint64_t offset,
