Addresses that no list names any more are let go, and their places serve others

Lines at fault: scheduler.cpp, take_list, and control.cpp, node_at: nothing emptied these tables. Now an address that is gone for as long as a link may be idle, with nothing out, is let go as the next list comes, and the next new address has its number; the module is told (Entry::fresh) and forgets what it learned of the node before. May hurt: a node that is away for over a minute is unheard again.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -113,6 +113,7 @@
   }
   for (const Entry& e : entries) {
     Node& node = node_at(e.node);
+    if (e.fresh) node = Node{};
     if (node.listed && e.came_up > node.came_up) {  // a new process: what was learned of the old one is void
       node.buckets = 0;
       node.bucket_units = node.bucket_time = node.bucket_replies = 0;
--- a/src/control.h
+++ b/src/control.h
@@ -98,7 +98,7 @@
   std::uint64_t look_ = 0;
   Open smallest_;  // the least that may be asked for room
   std::vector<std::pair<double, int>> order_;  // scratch of look()
-  std::vector<Node> nodes_;                    // by node; as many as were listed since the start
+  std::vector<Node> nodes_;                    // by node; as many as the host has indices, see Entry::fresh
   std::vector<double> managed_;                // by shard: usual service, units a second; as many as listed
   std::vector<Volume> volumes_;                // by volume; as many as there are
   std::map<std::uint64_t, Past> past_;         // by key: answered unserved; erased at the cut-off
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -426,9 +426,12 @@
   std::vector<Entry> entries;
   std::set<int> named;
   for (const ListedNode& l : nodes) {
-    const auto [at, fresh] = node_numbers_.emplace(l.address.text(), static_cast<int>(nodes_.size()));
+    const int next = free_numbers_.empty() ? static_cast<int>(nodes_.size()) : free_numbers_.back();
+    const auto [at, fresh] = node_numbers_.emplace(l.address.text(), next);
     const int number = at->second;
     if (fresh) {
+      if (free_numbers_.empty()) nodes_.emplace_back();
+      else free_numbers_.pop_back();
       NodeLink::Options o;
       o.host.address = l.address;
       o.host.subsystem = config_.node_subsystem;
@@ -438,10 +441,11 @@
       o.host.connect_timeout = config_.connect_timeout;
       o.host.keep_alive = config_.keep_alive;
       o.idle_close = config_.idle_close;
-      nodes_.push_back({l.address, std::make_unique<NodeLink>(loop_, number, o, *this), {}});
+      nodes_[static_cast<std::size_t>(number)] = {l.address, std::make_unique<NodeLink>(loop_, number, o, *this), {}, 0};
     }
     Entry e;
     e.node = number;
+    e.fresh = fresh;
     e.zone = l.zone;
     e.shard = l.shard;
     e.listing = l.listing;
@@ -453,11 +457,26 @@
     named.insert(number);
   }
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    if (!named.contains(static_cast<int>(i))) nodes_[i].listed.listing = Listing::kGone;
+    if (named.contains(static_cast<int>(i)) || nodes_[i].listed.listing == Listing::kGone) continue;
+    nodes_[i].listed.listing = Listing::kGone;
+    nodes_[i].gone_at = loop_.now();
   }
   return entries;
 }
 
+// Danger: machines are replaced for years, and each address would keep its place, its link and a timer. One that no list
+// has named for as long as a link may be idle, and at which nothing is out, is let go; a later one gets its number.
+void Scheduler::let_go_of_gone() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    NodeEntry& n = nodes_[i];
+    if (!n.link || n.listed.listing != Listing::kGone || loop_.now() < n.gone_at + config_.idle_close) continue;
+    if (n.link->out() > 0) continue;
+    node_numbers_.erase(n.address.text());
+    n.link.reset();
+    free_numbers_.push_back(static_cast<int>(i));
+  }
+}
+
 void Scheduler::connect_to_listed() {
   for (NodeEntry& n : nodes_) {
     if (n.listed.listing == Listing::kReady) n.link->open();
@@ -469,9 +488,10 @@
   log_.info(loop_.now(), "list.came", {{"nodes", entries.size()}});
   control_->list_news(now(), Scope::kWhole, entries);
   for (NodeEntry& n : nodes_) {
-    if (n.listed.listing != Listing::kReady) n.link->drain();
+    if (n.link && n.listed.listing != Listing::kReady) n.link->drain();
   }
   connect_to_listed();
+  let_go_of_gone();
   if (!config_.saved_list.empty() && !save_list(config_.saved_list, nodes)) {
     log_.error(loop_.now(), "list.not_saved", {{"path", config_.saved_list}});
   }
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -97,6 +97,7 @@
     Address address;
     std::unique_ptr<NodeLink> link;
     Entry listed;
+    double gone_at = 0;
   };
 
   // From nodes and the list.
@@ -115,6 +116,7 @@
   void mark_answered(Slot& slot);
   double now() const { return loop_.turn_time(); }
   std::vector<Entry> take_list(const std::vector<ListedNode>& nodes);
+  void let_go_of_gone();
   void connect_to_listed();
   void answer(Slot& slot, nvme::Status status, std::uint64_t result = 0, nvme::View data = {});
   void check_drained();
@@ -140,8 +142,9 @@
   Loop::Timer waiting_timer_ = 0;
   Loop::Timer draining_ = 0;
   std::size_t bytes_ = 0;             // of writes held
-  std::vector<NodeEntry> nodes_;      // as many as were listed since the start
-  std::map<std::string, int> node_numbers_;
+  std::vector<NodeEntry> nodes_;      // by the module's index; one whose address is gone for long has no link
+  std::map<std::string, int> node_numbers_;  // of those that have one; looked through as lists come
+  std::vector<int> free_numbers_;
   Loop::Timer wake_ = 0;
   Loop::Timer report_ = 0;
   Loop::Timer beat_ = 0;
--- a/src/state.h
+++ b/src/state.h
@@ -19,6 +19,7 @@
   int shard = -1;
   Listing listing = Listing::kReady;
   double came_up = 0;  // 0: long ago
+  bool fresh = false;  // the index is another node's from now on; nothing is out at the one that had it
 };
 
 // A transaction as it lands. `volume` is a small index.
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -306,3 +306,23 @@
   s.until(102.5);
   CHECK(s.matches("stall"));
 }
+
+TEST_CASE("an index that another node has now: what was learned of the one before is void") {
+  Stage s(plain_settings());
+  int id = 0;
+  s.say("a node that answers late: one at a time");
+  for (int i = 0; i < 6; ++i) {
+    s.land(id++);
+    s.until(100 + 0.39 * (i + 1));
+    s.reply_all(Outcome::kHonoured, 0.39);
+  }
+  for (int i = 0; i < 3; ++i) s.land(id++);
+  s.until(103);
+  s.reply_all(Outcome::kHonoured, 0.39);
+  s.say("another in its place: as many as at any unheard node");
+  Entry e = listed(0);
+  e.fresh = true;
+  s.news(Scope::kWhole, {e, listed(1)});
+  for (int i = 0; i < 5; ++i) s.land(id++, 0, 2, 0, 1);
+  CHECK(s.matches("replaced"));
+}
