A tenant that fills the door's bounds leaves room for others

Ruled out: the module (it orders by benefit, but what is turned back at the door never lands). Lines at fault: scheduler.cpp, command(): one bound for all. Now src/gateway/door.h decides, free of I/O: half of each bound is anybody's; above it a tenant has its even part among those that hold something and one more. With one tenant configured all is as before. Measured: the test failed before (turned back) and passes; the door's own trace.

--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -28,10 +28,22 @@
   return o;
 }
 
+std::map<std::string, std::size_t> tenants_of(const config::GatewayConfig& c) {
+  std::map<std::string, std::size_t> out;
+  for (const auto& v : c.volumes) out.emplace(v.tenant, out.size());
+  return out;
+}
+
 }  // namespace
 
 Scheduler::Scheduler(Loop& loop, const config::GatewayConfig& config, Log& log)
-    : loop_(loop), config_(config), log_(log), matcher_(config), wall_offset_(wall_offset()) {
+    : loop_(loop),
+      config_(config),
+      log_(log),
+      matcher_(config),
+      wall_offset_(wall_offset()),
+      tenants_(tenants_of(config)),
+      door_(tenants_.size(), static_cast<double>(config.most_open), static_cast<double>(config.most_bytes)) {
   Fd listener = listen_on(config.listen);
   if (!listener) throw std::runtime_error("cannot listen on " + config.listen.text() + ": " + std::strerror(errno));
   own_label_ = kOwnLabel | static_cast<std::uint64_t>(config.settings.index) << 46 |
@@ -183,9 +195,9 @@
   if (c.sqe.sgl_length != c.sqe.blocks() * config_.block_bytes) return end(nvme::status::kInvalidField, counts_.refused);
   nvme::Status busy = nvme::status::kCommandInterrupted;
   busy.crd = 1;
-  if (drained_ || open() >= static_cast<std::size_t>(config_.most_open) ||
-      bytes_ + c.data.size() > config_.most_bytes)
-    return end(busy, counts_.at_door);
+  const auto bytes = static_cast<double>(c.data.size());
+  const std::size_t tenant = tenants_.at(matcher_.tenant_of(c.sqe.nsid));
+  if (drained_ || !door_.takes(tenant, bytes)) return end(busy, counts_.at_door);
 
   if (keeper_ && !keeper_->takes()) return end(busy, counts_.at_ledger);
 
@@ -232,7 +244,8 @@
   s.unnamed = s.sqe.label() == 0;
   if (s.unnamed) s.sqe.set_label(++own_label_);
   if (!reads) s.data = std::make_shared<const nvme::Bytes>(std::move(c.data));
-  bytes_ += s.data ? s.data->size() : 0;
+  s.tenant = tenant;
+  door_.landed(tenant, bytes);
   by_client_[c.connection].insert(id);
   ++counts_.landed;
   control_->landed(now(), id, t);
@@ -315,7 +328,7 @@
 
 void Scheduler::forget(int transaction) {
   Slot& s = slots_[static_cast<std::size_t>(transaction)];
-  bytes_ -= s.data ? s.data->size() : 0;
+  door_.left(s.tenant, s.data ? static_cast<double>(s.data->size()) : 0);
   s.data.reset();
   s.used = false;
   free_.push_back(transaction);
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -7,6 +7,7 @@
 
 #include "config/gateway_config.h"
 #include "control.h"
+#include "gateway/door.h"
 #include "gateway/list_watch.h"
 #include "ledger/keeper.h"
 #include "gateway/log.h"
@@ -78,6 +79,7 @@
     nvme::SharedBytes data;
     int profile = 0;
     int shard = -1;
+    std::size_t tenant = 0;
     int dispatches = 0;
     int rule = -1;
     Transaction t;  // as it landed; its time left is counted from `landed_at`
@@ -141,7 +143,8 @@
   std::deque<Waiting> waiting_;       // by ticket; bounded by what may be open, emptied as entries are durable
   Loop::Timer waiting_timer_ = 0;
   Loop::Timer draining_ = 0;
-  std::size_t bytes_ = 0;             // of writes held
+  std::map<std::string, std::size_t> tenants_;  // numbers of those configured
+  Door door_;
   std::vector<NodeEntry> nodes_;      // by the module's index; one whose address is gone for long has no link
   std::map<std::string, int> node_numbers_;  // of those that have one; looked through as lists come
   std::vector<int> free_numbers_;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -416,6 +416,53 @@
   CHECK(r.loop.timers() < 100);  // each node that was ever listed has one
 }
 
+TEST_CASE("one tenant at full depth leaves room at the door for another") {
+  Rig r("[[volumes]]\nfirst = 2\nplan = \"base\"\ntenant = \"other\"\n");
+  r.config.most_open = 8;
+  r.start();
+  auto& presses = r.client();
+  auto& other = r.client();
+  r.nodes[0]->answers.reset();
+  for (std::uint64_t i = 0; i < 8; ++i) presses.read(i, i);
+  REQUIRE(r.until([&] { return r.scheduler->counts().landed + r.scheduler->counts().at_door == 8; }));
+  nvme::Sqe q;
+  q.opcode = nvme::opcode::kRead;
+  q.nsid = 2;
+  q.set_slba(64);
+  q.set_blocks(1);
+  other.host->submit(1, q, nullptr, 4096);
+  REQUIRE(r.until([&] { return other.answers.size() == 1; }));
+  CHECK(other.status(1) == st::kOk);
+}
+
+TEST_CASE("the door: half of a bound is anybody's, then a tenant has its even part, and one is left for whoever comes") {
+  gateway::Door door(3, 12, 1200);
+  std::string trace;
+  const auto land = [&](std::size_t tenant, int times, double bytes) {
+    int taken = 0;
+    for (; taken < times && door.takes(tenant, bytes); ++taken) door.landed(tenant, bytes);
+    trace += std::to_string(tenant) + " wants " + std::to_string(times) + ": " + std::to_string(taken) + "\n";
+  };
+  land(0, 20, 10);   // alone: half
+  land(1, 20, 10);   // its third
+  land(0, 1, 10);    // over its part by now
+  land(2, 20, 10);   // the rest
+  land(1, 1, 10);    // all is used
+  for (int i = 0; i < 6; ++i) door.left(0, 10);
+  for (int i = 0; i < 4; ++i) door.left(1, 10);
+  for (int i = 0; i < 2; ++i) door.left(2, 10);
+  CHECK(door.empty());
+  land(0, 20, 250);  // by bytes: half of them, in whole transactions
+  land(1, 20, 250);
+  land(2, 1, 900);   // larger than what is left
+  CHECK(trace == "0 wants 20: 6\n1 wants 20: 4\n0 wants 1: 0\n2 wants 20: 2\n1 wants 1: 0\n"
+                 "0 wants 20: 2\n1 wants 20: 1\n2 wants 1: 0\n");
+  gateway::Door alone(1, 4, 1000);
+  int taken = 0;
+  for (; alone.takes(0, 1); ++taken) alone.landed(0, 1);
+  CHECK(taken == 4);  // nobody else is configured
+}
+
 TEST_CASE("addresses that are not listed any more are let go, and their places serve others") {
   Rig r;
   r.config.idle_close = 0.05;
