--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -47,6 +47,8 @@
   const Counts& counts() const { return counts_; }
   // What log page kReasonsPage holds: a rule that turns back a line, "number<TAB>name<TAB>reason".
   std::string reasons() const;
+  std::size_t unread() const { return target_->unsent(); }  // bytes of answers that clients have not taken yet
+  bool door_empty() const { return door_.empty(); }
   std::size_t open() const { return slots_.size() - free_.size(); }
 
   // Takes nothing new, ends what it took, then calls `done`.
--- a/tests/gateway/rig.h
+++ b/tests/gateway/rig.h
@@ -139,9 +139,10 @@
 
 // Two shards, one volume of eight zones of 64 blocks; profiles: reads redoable, writes labelled within their
 // cell and in order, appends irreversible.
-class Rig {
+template <class C>
+class RigOn {
  public:
-  explicit Rig(const std::string& more = "", std::vector<gateway::ListedNode> listed = {}, bool listed_set = false)
+  explicit RigOn(const std::string& more = "", std::vector<gateway::ListedNode> listed = {}, bool listed_set = false)
       : loop(clock), list(loop), nodes{std::make_unique<ScriptNode>(loop), std::make_unique<ScriptNode>(loop)} {
     list.nodes = listed_set ? std::move(listed) : all_ready();
     const std::string path = scratch("config.toml");
@@ -194,7 +195,7 @@
     for (const auto& p : problems) std::fprintf(stderr, "%s\n", p.shown().c_str());
     config = std::move(c.value());
   }
-  ~Rig() {
+  ~RigOn() {
     clients.clear();
     scheduler.reset();
   }
@@ -215,7 +216,7 @@
   // Whether it became so within a time that only a hang uses up.
   bool until(const std::function<bool()>& done) {
     const double end = clock.now() + 20;
-    while (!done() && clock.now() < end) loop.turn(0.01);
+    for (int turns = 0; !done() && clock.now() < end && turns < 5000; ++turns) loop.turn(0.01);
     return done();
   }
   void run(double seconds) {
@@ -223,7 +224,7 @@
     while (clock.now() < end) loop.turn(0.005);
   }
 
-  MonotonicClock clock;
+  C clock;
   Loop loop;
   gateway::Log log{"", "error", 100};
   ScriptList list;
@@ -233,4 +234,6 @@
   std::vector<std::unique_ptr<ScriptClient>> clients;
 };
 
+using Rig = RigOn<MonotonicClock>;
+
 }  // namespace heronworks::test
--- a/tests/nvme/host_test.cpp
+++ b/tests/nvme/host_test.cpp
@@ -288,6 +288,112 @@
   CHECK(r.link->waiting() == 0);
 }
 
+TEST_CASE("every ordering of what a controller says of two commands, twice, late and short, and of their time") {
+  enum Event { kData, kReadDone, kAsk, kWriteDone, kTime, kReset };
+  ManualClock clock(1000);
+  Loop loop(clock);
+  RawController node(loop);
+  Ends ends;
+  gateway::NodeLink::Options o;
+  o.host.address = node.address;
+  o.host.depth = 8;
+  o.host.keep_alive = 0;
+  gateway::NodeLink link(loop, 0, o, ends);
+  const auto settle = [&] {
+    for (int i = 0; i < 4; ++i) loop.turn(0);
+  };
+  const auto until = [&](const std::function<bool()>& done) {
+    for (int i = 0; i < 10000 && !done(); ++i) loop.turn(0.001);
+    return done();
+  };
+  int orderings = 0;
+  std::map<Outcome, int> seen;
+  for (const Event last : {kTime, kReset}) {
+    std::vector<Event> order{kData, kReadDone, kReadDone, kAsk, kWriteDone, kWriteDone, last};
+    do {
+      ends.outcomes.clear();
+      const auto send = [&](int transaction, bool write) {
+        gateway::Dispatch d;
+        d.transaction = transaction;
+        d.until = clock.now() + 1;
+        d.sqe.opcode = write ? opcode::kWrite : opcode::kRead;
+        if (write) d.out = std::make_shared<const Bytes>(8192);
+        else d.in = 4096;
+        link.send(std::move(d));
+      };
+      send(0, false);
+      send(1, true);
+      REQUIRE(until([&] { return node.io() && node.io()->came.size() == 2; }));
+      RawController::Peer& peer = *node.io();
+      const auto read = peer.came[0].cid;
+      const auto write = peer.came[1].cid;
+      // What must have become of each, from what was said so far.
+      std::map<int, Outcome> due;
+      bool data = false, asked = false, write_over = false, lost = false;
+      std::string text;
+      const auto end = [&](int which, Outcome outcome) { due.emplace(which, outcome); };
+      for (const Event e : order) {
+        text += std::to_string(e) + " ";
+        switch (e) {
+          case kData:
+            if (!lost) peer.data(read, 4096);
+            data = true;
+            break;
+          case kReadDone:
+            if (!lost) peer.complete(read);
+            if (!lost) end(0, data ? Outcome::kHonoured : Outcome::kError);
+            break;
+          case kAsk:
+            if (!lost) peer.ask(write, 0, 8192);
+            if (!lost && write_over) {  // of a command that is over: that ends the connection
+              end(0, Outcome::kReset);
+              lost = true;
+            }
+            asked = true;
+            break;
+          case kWriteDone:
+            if (!lost) peer.complete(write);
+            if (!lost) end(1, asked ? Outcome::kHonoured : Outcome::kError);
+            write_over = true;
+            break;
+          case kTime:
+            clock.advance(1.5);
+            end(0, Outcome::kTimedOut);
+            end(1, Outcome::kTimedOut);
+            // Nothing that is awaited is left; where data was asked for late, the link is made anew.
+            break;
+          case kReset:
+            if (!lost) peer.stream.close();
+            peer.gone = true;
+            end(0, Outcome::kReset);
+            end(1, Outcome::kReset);
+            lost = true;
+            break;
+        }
+        settle();
+        if (peer.gone) lost = true;
+        INFO(text);
+        CHECK(ends.outcomes == due);
+      }
+      INFO(text);
+      const bool in_time = std::find(order.begin(), order.end(), kAsk) < std::find(order.begin(), order.end(), last) &&
+                           std::find(order.begin(), order.end(), kAsk) < std::find(order.begin(), order.end(), kWriteDone);
+      CHECK(peer.data_got == (in_time ? 8192 : 0));
+      CHECK(link.out() == 0);
+      CHECK(link.waiting() == 0);
+      for (const auto& [t, outcome] : ends.outcomes) ++seen[outcome];
+      ++orderings;
+      link.restart("the next ordering");
+      settle();
+      std::erase_if(node.peers, [](auto& p) { return p->gone; });
+    } while (std::next_permutation(order.begin(), order.end()));
+  }
+  MESSAGE(orderings, " orderings; honoured ", seen[Outcome::kHonoured], ", errors ", seen[Outcome::kError], ", timed out ",
+          seen[Outcome::kTimedOut], ", reset ", seen[Outcome::kReset]);
+  CHECK(orderings == 2 * 1260);
+  CHECK(seen.size() == 4);
+}
+
 TEST_CASE("a list whose event request is refused is asked for again; one with a shard beyond all bounds is refused") {
   const MonotonicClock clock;
   Loop loop(clock);
