A scheduler's settings no longer hold what only verdicts read

Need: late_part was read by a scheduler's configuration and kept in the module's settings, and no decision looks at it: an operator who set it changed nothing.

--- a/src/config/gateway_config.cpp
+++ b/src/config/gateway_config.cpp
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-void read_profiles(Section& root, Settings& settings, std::vector<std::string>& names) {
+void read_profiles(Section& root, Settings& settings, std::vector<std::string>& names, std::vector<double>* late_parts) {
   for (Section& s : root.list("profile")) {
     Profile p;
     twice(s, s.need_text("name"), names, "profile");
@@ -33,7 +33,7 @@
     p.cut_off = s.need_number("cut_off", 0.001, kLongest);
     if (p.cut_off < p.contract) s.complain("cut_off", "must not be under the contract time");
     p.benefit = s.number("benefit", 1, 1e-6, 1e6);
-    p.late_part = s.number("late_part", 0, 0, 1);
+    if (late_parts) late_parts->push_back(s.number("late_part", 0, 0, 1));
     p.repeat = static_cast<Repeat>(std::max(0, s.one_of("repeat", {"redoable", "labelled", "irreversible"}, -1)));
     p.group = static_cast<Group>(std::max(0, s.one_of("group", {"all", "zone", "cell"}, 2)));
     p.label_window = s.number("label_window", 0, 0, kLongest);
--- a/src/config/gateway_config.h
+++ b/src/config/gateway_config.h
@@ -88,7 +88,9 @@
 std::optional<GatewayConfig> read_gateway(const std::string& path, Problems& problems);
 
 // Shared with the lab's days: [[profile]], [[plan]], and the tables [sharing], [budget], [cold].
-void read_profiles(Section& root, Settings& settings, std::vector<std::string>& names);
+// `late_parts`, of the benefit that a late answer earns, are for verdicts only: a scheduler's configuration has none.
+void read_profiles(Section& root, Settings& settings, std::vector<std::string>& names,
+                   std::vector<double>* late_parts = nullptr);
 void read_plans(Section& root, Settings& settings, std::vector<std::string>& names);
 void read_rules(Section& root, Settings& settings);
 std::vector<Rule> read_matches(Section& root, const std::vector<std::string>& profiles);
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -170,7 +170,7 @@
   d.rules = r.text("text", "");
   r.finish();
 
-  config::read_profiles(root, d.settings, d.profile_names);
+  config::read_profiles(root, d.settings, d.profile_names, &d.late_parts);
   config::read_plans(root, d.settings, d.plan_names);
   config::read_rules(root, d.settings);
   d.matches = config::read_matches(root, d.profile_names);
@@ -281,7 +281,7 @@
   for (std::size_t i = 0; i < s.profiles.size(); ++i) {
     const Profile& p = s.profiles[i];
     t << "[[profile]]\nname = \"" << day.profile_names[i] << "\"\ncontract = " << p.contract
-      << "\ncut_off = " << p.cut_off << "\nbenefit = " << p.benefit << "\nlate_part = " << p.late_part
+      << "\ncut_off = " << p.cut_off << "\nbenefit = " << p.benefit
       << "\nrepeat = \"" << repeats[static_cast<int>(p.repeat)] << "\"\ngroup = \""
       << groups[static_cast<int>(p.group)] << "\"\nlabel_window = " << p.label_window
       << "\nin_order = " << (p.in_order ? "true" : "false") << "\n";
--- a/src/lab/day.h
+++ b/src/lab/day.h
@@ -56,6 +56,7 @@
   double drain_grace = 0.25;
   Settings settings;  // but index and seed
   std::vector<std::string> profile_names;
+  std::vector<double> late_parts;  // of a profile's benefit that a late answer earns in the verdict
   std::vector<std::string> plan_names;
   std::vector<config::Rule> matches;
   std::vector<Work> work;
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -248,7 +248,7 @@
   const Settings& s = day.settings;
   for (std::size_t i = 0; i < s.profiles.size(); ++i) {
     const Profile& p = s.profiles[i];
-    f.profiles.push_back({day.profile_names[i], p.contract, p.cut_off, p.benefit, p.late_part,
+    f.profiles.push_back({day.profile_names[i], p.contract, p.cut_off, p.benefit, day.late_parts[i],
                           static_cast<int>(p.repeat), static_cast<int>(p.group), p.label_window, p.in_order});
   }
   for (std::size_t i = 0; i < s.plans.size(); ++i) {
--- a/src/settings.h
+++ b/src/settings.h
@@ -14,7 +14,6 @@
   double contract = 0;
   double cut_off = 0;
   double benefit = 0;
-  double late_part = 0;  // of no decision: verdicts count by it
   double label_window = 0;
   Repeat repeat = Repeat::kIrreversible;
   Group group = Group::kCell;
