Comments of an expression are passed over without a call for each

Seen: expr check of a rule with 8,000 lines of '#' before 'true', within the bound of 16,384 bytes, ended with a stack overflow under the sanitizers (exit 1, AddressSanitizer: stack-overflow). Built without them it passes, with a stack that grows with the source. Ruled out: nesting (bounded at 64 levels) and the parser. Lines at fault: syntax.cpp, Lexer::next called itself after each comment. A comment on the least int that the code did not do is gone. Measured: the rule compiles and holds; the new test runs it under the sanitizers; the hostile corpus is refused as before.

--- a/src/expr/syntax.cpp
+++ b/src/expr/syntax.cpp
@@ -50,10 +50,10 @@
   Lexer(std::string_view source, std::vector<Fault>& faults) : source_(source), faults_(faults) {}
 
   Lexeme next() {
-    while (at_ < source_.size() && std::strchr(" \t\r\n", source_[at_]) != nullptr) ++at_;
-    if (at_ < source_.size() && source_[at_] == '#') {  // to the end of the line
-      while (at_ < source_.size() && source_[at_] != '\n') ++at_;
-      return next();
+    // Spaces, and comments to the end of their line. Danger: as many as a source holds, so no call for each.
+    for (bool comment = false; at_ < source_.size(); ++at_) {
+      comment = source_[at_] != '\n' && (comment || source_[at_] == '#');
+      if (!comment && std::strchr(" \t\r\n", source_[at_]) == nullptr) break;
     }
     Lexeme l;
     l.place.offset = at_;
@@ -370,7 +370,6 @@
     for (const auto& [text, op] : {std::pair{"!", Op::kNot}, std::pair{"-", Op::kNegate}}) {
       if (!sign(text)) continue;
       auto t = make(Node::kUnary, place);
-      // The least int has no positive twin: its digits are taken together with the sign.
       auto inner = expression(kPrefix);
       if (!t || !inner) return nullptr;
       t->op = op;
--- a/tests/expr/expr_test.cpp
+++ b/tests/expr/expr_test.cpp
@@ -128,6 +128,15 @@
   }
 }
 
+TEST_CASE("comments: to the end of their line, and as many as a source holds") {
+  CHECK(run("true # x\n&& # y # z\r\n true#").value.b);
+  std::string many;
+  for (int i = 0; i < 8000; ++i) many += "#\n";
+  const Outcome o = run(many + "true");
+  CHECK(o.compiled);
+  CHECK(o.value.b);
+}
+
 TEST_CASE("errors on a transaction have a kind, and short circuits keep from them") {
   CHECK(run("volume / (volume - 7) == 1").failure == Failure::kDivision);
   CHECK(run("volume - 8 == 1").failure == Failure::kOverflow);
