A repeat at the very end of its window is not sent with no time-out

Need: since repeats time out at the end of their window, one sent just then would have 0 s, which the host takes for 'until the cut-off'. Change: control.cpp, may_go_again: the end of the window is outside of it. Measured: read only, as a clock hits that moment by chance alone; orderings unchanged.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -574,7 +574,7 @@
   if (!o.may_have_run) return true;
   const Profile& profile = settings_.profiles[at(o.t.profile)];
   if (profile.repeat == Repeat::kRedoable) return true;
-  if (profile.repeat == Repeat::kIrreversible || now > o.label_until) return false;
+  if (profile.repeat == Repeat::kIrreversible || now >= o.label_until) return false;
   return profile.group == Group::kAll || (profile.group == Group::kZone && o.first_zone == node.zone) ||
          (profile.group == Group::kCell && o.first_shard == node.shard);
 }
