By default a unit beyond the reservation is worth half, so that reservations have priority

Lines at fault: gateway_config.cpp, read_rules. Defaults are now 0.5 and half of the share's part; 1 may still be set.

--- a/bench/tenants.cpp
+++ b/bench/tenants.cpp
@@ -63,6 +63,7 @@
   int in_time = 0;
   int late = 0;
   int turned_back = 0;
+  std::size_t unread = 0;    // bytes of answers that the scheduler held, at most
   std::vector<double> took;  // of what was honoured
 };
 
@@ -112,6 +113,7 @@
     if (press) press(r, pressing, pressed);
     r.loop.turn(0.001);
     for (Server& v : servers) v.look();
+    out.unread = std::max(out.unread, r.scheduler->unread());
     for (auto& [t, c] : quiet.answers) {
       const double took = c.at - at[t];
       if (!c.status().ok()) ++out.turned_back;
@@ -124,13 +126,20 @@
   return out;
 }
 
-// Four clients in a loop of their own, which stands still once they are up: they send and never read.
+// Four clients in a loop of their own, which stands still once they are up, or is let run only now and then: they
+// send and never read, or slowly.
 struct Idle {
+  explicit Idle(double every = 0) : every_(every) {}
   void press(Rig& r, std::uint64_t& token) {
     while (clients.size() < 4) clients.push_back(std::make_unique<ScriptClient>(loop, r.scheduler->address()));
     for (auto& c : clients) {
       if (!c->host->ready()) return loop.turn(0);
     }
+    if (every_ > 0 && clock.now() >= next_) {
+      next_ = clock.now() + every_;
+      loop.turn(0);
+      for (auto& c : clients) c->answers.clear();
+    }
     for (auto& c : clients) {
       while (c->host->has_room()) command(*c, token, nvme::opcode::kRead, token % 2 * 64, 16, 0, token), ++token;
     }
@@ -138,8 +147,30 @@
   MonotonicClock clock;
   Loop loop{clock};
   std::vector<std::unique_ptr<ScriptClient>> clients;
+
+ private:
+  const double every_;  // s between two turns of the loop, each with one read of 256 KiB a client at most; 0: none
+  double next_ = 0;
 };
 
+// Bytes of answers that one connection can make the scheduler hold: largest reads at full depth, nodes that answer at
+// once, and a client that reads nothing.
+double unread_at_most() {
+  Rig r("[[volumes]]\nfirst = 2\nplan = \"base\"\n");
+  r.start();
+  Loop loop(r.clock);
+  ScriptClient c(loop, r.scheduler->address());
+  while (!c.host->ready()) loop.turn(0), r.loop.turn(0.001);
+  for (std::uint64_t n = 0; c.host->has_room(); ++n) command(c, n, nvme::opcode::kRead, n % 2 * 64, 64, 5, n);
+  std::size_t most = 0;
+  const double end = r.clock.now() + 2;
+  while (r.clock.now() < end) {
+    r.loop.turn(0.001);
+    most = std::max(most, r.scheduler->unread());
+  }
+  return 1e-6 * static_cast<double>(most);
+}
+
 void each(std::vector<ScriptClient*>& clients, std::uint64_t& token, std::size_t most, const std::function<void(ScriptClient&, std::uint64_t)>& one) {
   for (ScriptClient* c : clients) {
     while (c->host->ready() && c->host->has_room() && c->host->out() < most) one(*c, token++);
@@ -176,6 +207,7 @@
          each(c, t, 64, [](ScriptClient& k, std::uint64_t n) { command(k, n, kWrite, n % 2 * 64 + n % 60, 1, 0, 7); });
        }},
       {"reads no answers", 0, [idle = std::make_shared<Idle>()](Rig& r, auto&, auto& t) { idle->press(r, t); }},
+      {"reads slowly", 0, [idle = std::make_shared<Idle>(0.25)](Rig& r, auto&, auto& t) { idle->press(r, t); }},
       {"lands and leaves", 1, [](Rig& r, auto& c, auto& t) {
          ScriptClient& k = *c[0];
          if (k.host && k.host->ready()) {
@@ -191,16 +223,17 @@
          }
        }},
   };
-  std::printf("%-28s %5s %8s %5s %12s %8s %8s %8s\n", "the other tenant", "sent", "in time", "late", "turned back", "p50 ms",
-              "p99 ms", "most ms");
+  std::printf("%-28s %5s %8s %5s %12s %8s %8s %8s %9s\n", "the other tenant", "sent", "in time", "late", "turned back",
+              "p50 ms", "p99 ms", "most ms", "unread MB");
   for (const auto& way : ways) {
     if (argc > 1 && std::string(way.name) != argv[1]) continue;  // one way alone
     const Result m = measure(way.press, way.connections);
     const auto part = [&](double q) {
       return m.took.empty() ? 0.0 : 1000 * m.took[static_cast<std::size_t>(q * static_cast<double>(m.took.size() - 1))];
     };
-    std::printf("%-28s %5d %8d %5d %12d %8.1f %8.1f %8.1f\n", way.name, m.sent, m.in_time, m.late, m.turned_back, part(0.5),
-                part(0.99), part(1));
+    std::printf("%-28s %5d %8d %5d %12d %8.1f %8.1f %8.1f %9.2f\n", way.name, m.sent, m.in_time, m.late, m.turned_back, part(0.5),
+                part(0.99), part(1), 1e-6 * static_cast<double>(m.unread));
     std::fflush(stdout);
   }
+  std::printf("a connection that reads nothing makes the scheduler hold %.1f MB at most\n", unread_at_most());
 }
--- a/src/config/gateway_config.cpp
+++ b/src/config/gateway_config.cpp
@@ -68,8 +68,8 @@
   Section sharing = root.section("sharing");
   settings.largest_units = sharing.number("largest_units", 8, 1, 1e6);
   settings.mean_units = sharing.number("mean_units", 1, 1e-3, 1e6);
-  settings.share_part = sharing.number("share_part", 1, 0, 1);
-  settings.spare_part = sharing.number("spare_part", settings.share_part, 0, 1);
+  settings.share_part = sharing.number("share_part", 0.5, 0, 1);
+  settings.spare_part = sharing.number("spare_part", settings.share_part / 2, 0, 1);
   settings.dispatch_cap = static_cast<int>(sharing.integer("dispatch_cap", 3, 1, 100));
   settings.max_wait = sharing.number("max_wait", 1, 0, kLongest);
   settings.turn_gap = sharing.number("turn_gap", 0, 0, kLongest);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -435,6 +435,12 @@
   CHECK(other.status(1) == st::kOk);
 }
 
+TEST_CASE("a configuration that says nothing of it has work beyond the reservation worth less, so that one has priority") {
+  const Rig r;
+  CHECK(r.config.settings.share_part < 1);
+  CHECK(r.config.settings.spare_part < r.config.settings.share_part);
+}
+
 TEST_CASE("the door: half of a bound is anybody's, then a tenant has its even part, and one is left for whoever comes") {
   gateway::Door door(3, 12, 1200);
   std::string trace;
--- a/tests/gateway/orderings_test.cpp
+++ b/tests/gateway/orderings_test.cpp
@@ -33,6 +33,7 @@
     stays = &client();
     leaves = &client();
     for (auto& n : nodes) n->answers.reset();
+    pass(0.1);  // slices of the reservation fill
     stays->read(1, 0);
     stays->append(2);
     leaves->write(3, 1);
