What nothing calls is gone: four names

Need: the review's removals; a search for names of headers that occur once in src/ found them. Change: Receipt::is_stored, Keeper::durable_ticket, Listener::pause with a comment on a bound that it never had, and a status that no answer carries.

--- a/src/ledger/export.h
+++ b/src/ledger/export.h
@@ -133,7 +133,6 @@
     stored_ = true;
     host.say_stored();
   }
-  bool is_stored() const { return stored_; }
   bool operator==(const Receipt&) const = default;
   auto operator<=>(const Receipt&) const = default;
 
--- a/src/ledger/keeper.h
+++ b/src/ledger/keeper.h
@@ -42,7 +42,6 @@
   std::uint64_t honoured(const Use& use);
   const Pressure& pressure() const { return pressure_; }
   const Book& book() const { return book_; }
-  std::uint64_t durable_ticket() const { return durable_; }
 
  private:
   void durable(std::uint64_t sequence) override;
--- a/src/loop/stream.h
+++ b/src/loop/stream.h
@@ -86,14 +86,13 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-// Accepts and hands over connections until `most` are open, then lets them wait in the kernel's queue.
+// Accepts connections and hands them over.
 class Listener final : private Pollable {
  public:
   using Accepted = std::function<void(Fd)>;
   Listener(Loop& loop, Fd fd, Accepted accepted);
   ~Listener() override;
   Address address() const { return local_address(fd_.get()); }
-  void pause(bool paused) { loop_.interest(fd_.get(), !paused, false); }
 
  private:
   void readable() override;
--- a/src/nvme/wire.h
+++ b/src/nvme/wire.h
@@ -187,7 +187,6 @@
 constexpr Status kAsyncLimit{1, 0x05};
 constexpr Status kInvalidLogPage{1, 0x09};
 constexpr Status kConnectFormat{1, 0x80};
-constexpr Status kConnectBusy{1, 0x81};
 constexpr Status kConnectInvalid{1, 0x82};
 constexpr Status kZoneFull{1, 0xb9};
 constexpr Status kInternalPath{3, 0x00};
