The drill refuses numbers that are none and shards beyond all bounds

Lines at fault: drill/main.cpp, parsed(): from_chars takes nan and inf. Now the field's error, as for any malformed one. Measured: tests/wire.sh fails before (exit 0, HAND_OFF) and passes.

--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -1,5 +1,6 @@
 // The adapter: speaks the drill's wire on standard input and output for many instances of the module.
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <exception>
 #include <iostream>
@@ -17,6 +18,7 @@
 namespace {
 
 constexpr double kMicro = 1e-6;
+constexpr double kMostShards = 1e6;  // tables go by shard
 
 // Raised on input that cannot be understood; ends the adapter.
 struct BadInput : std::runtime_error {
@@ -82,7 +84,8 @@
     Number result{};
     const auto end = value.data() + value.size();
     const auto [stop, error] = std::from_chars(value.data(), end, result);
-    if (error != std::errc() || stop != end) fail(name);
+    // from_chars takes "nan" and "inf"; the wire has whole numbers and fractions.
+    if (error != std::errc() || stop != end || !std::isfinite(static_cast<double>(result))) fail(name);
     return result;
   }
 
@@ -262,7 +265,9 @@
     const auto plan = plans_.known(line.find("grade").value_or(""));
     if (!plan && line.find("grade")) line.fail("grade");
     t.plan = plan.value_or(-1);
-    t.shard = static_cast<int>(line.number("slot-no", -1.0));
+    const double shard = line.number("slot-no", -1.0);
+    if (shard < -1 || shard > kMostShards) line.fail("slot-no");
+    t.shard = static_cast<int>(shard);
     t.hosts = static_cast<int>(line.number("set-size", 0.0));
     const std::string handle(line.text("handle"));
     int id = 0;
@@ -382,7 +387,9 @@
       Listed listed;
       listed.server = member.text("server");
       listed.zone = member.find("campus").value_or("");
-      listed.entry.shard = static_cast<int>(member.integer("cohort", -1));
+      const auto shard = member.integer("cohort", -1);
+      if (shard < -1 || static_cast<double>(shard) > kMostShards) member.fail("cohort");
+      listed.entry.shard = static_cast<int>(shard);
       listed.entry.listing = static_cast<Listing>(state);
       listed.entry.came_up = kMicro * member.number("came-up", 0.0);
       entries.push_back(std::move(listed));
--- a/tests/wire.sh
+++ b/tests/wire.sh
@@ -27,6 +27,9 @@
 expect "empty batch" 'SYNC\tsim-time=1\nEOB\n' 0 'EOR'
 expect "no input" '' 0 ''
 expect "malformed field" "${good/left=100000/left=x}" 1 "line 7: CALL: bad field 'left'"
+expect "no finite number" "${good/left=100000/left=nan}" 1 "line 7: CALL: bad field 'left'"
+expect "a slot that is none" "${good/slot-no=0/slot-no=-2}" 1 "line 7: CALL: bad field 'slot-no'"
+expect "a cohort beyond all bounds" "${good/cohort=0/cohort=2000000000}" 1 "bad field 'cohort'"
 expect "cut short" "${good%EOB*}CALL\twho=3" 1 'cut short'
 expect "ends inside a batch" "${good%EOB*}" 1 'ends inside a batch'
 expect "unknown profile" "${good/profile=r/profile=q}" 1 "bad field 'profile'"
