--- a/src/control.cpp
+++ b/src/control.cpp
@@ -698,8 +698,8 @@
   std::erase_if(node.cold_sent, [&](const Sent& s) { return s.at < now - settings_.fall_time * kColdSpan; });
   double sent = 0;
   for (const Sent& s : node.cold_sent) sent += s.units;
-  // Danger: a scheduler that is killed and back at once has spent its part and forgotten it. So for one fall time
-  // it sends none of the safe number to what came up before it. May hurt a first second after a start.
+  // Danger: a scheduler that is killed and back at once has spent its part and forgotten it. So for one fall
+  // time it sends none of the safe number to what came up before it. May hurt a first second after a start.
   if (node.came_up <= started_ && now < started_ + settings_.fall_time * kColdSpan) return node.cold_store;
   const int schedulers = std::max(settings_.schedulers, 1);
   const double turn_time = kTurnTime * settings_.fall_time;
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -469,8 +469,9 @@
   return entries;
 }
 
-// Danger: machines are replaced for years, and each address would keep its place, its link and a timer. One that no list
-// has named for as long as a link may be idle, and at which nothing is out, is let go; a later one gets its number.
+// Danger: machines are replaced for years, and each address would keep its place, its link and a timer. One that
+// no list has named for as long as a link may be idle, and at which nothing is out, is let go; a later one gets
+// its number. May hurt a node that is away for longer: it is unheard again.
 void Scheduler::let_go_of_gone() {
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     NodeEntry& n = nodes_[i];
