--- a/src/gateway/door.h
+++ b/src/gateway/door.h
@@ -1,11 +1,11 @@
 // Who may still land while the bounds on what is open fill up: decisions only.
 //
-// How to call it: `takes` before a command lands, then `landed`, and `left` once its transaction is forgotten.
-// Tenants are small numbers. The lower half of each bound is anybody's. Danger: one tenant that keeps its
-// connections full uses all of a bound, and the others are turned back for it. So in the upper half a tenant
-// at or over its even part is turned back, and the parts leave one for a tenant that has nothing open yet.
-// Other trouble that it should catch: a tenant whose node hangs. May hurt a tenant that is alone today among
-// several.
+// How to call it: `takes` before a command lands, then `landed`, and `left` once its transaction is
+// forgotten. Tenants are small numbers. The lower half of each bound is anybody's. Danger: one tenant that
+// keeps its connections full uses all of a bound, and the others are turned back for it. So in the upper half
+// a tenant at or over its even part is turned back, and the parts leave one for a tenant that has nothing open
+// yet. Other trouble that it should catch: a tenant whose node hangs. May hurt a tenant that is alone today
+// among several.
 #pragma once
 
 #include <algorithm>
