--- a/src/gateway/door.h
+++ b/src/gateway/door.h
@@ -2,10 +2,10 @@
 //
 // How to call it: `takes` before a command lands, then `landed`, and `left` once its transaction is
 // forgotten. Tenants are small numbers. The lower half of each bound is anybody's. Danger: one tenant that
-// keeps its connections full uses all of a bound, and the others are turned back for it. So in the upper half
-// a tenant at or over its even part is turned back, and the parts leave one for a tenant that has nothing open
-// yet. Other trouble that it should catch: a tenant whose node hangs. May hurt a tenant that is alone today
-// among several.
+// keeps its connections full uses all of a bound, and the others are turned back for it. So in the upper
+// half a tenant at or over its even part is turned back, and the parts leave one for a tenant that has
+// nothing open yet. Other trouble that it should catch: a tenant whose node hangs. May hurt a tenant that
+// is alone today among several.
 #pragma once
 
 #include <algorithm>
@@ -16,7 +16,7 @@
 
 class Door {
  public:
-  static constexpr double kAnybodys = 0.5;  // part of a bound; what a single tenant may always count on
+  static constexpr double kAnybodys = 0.5;  // part of a bound; a tenant alone can count on it
 
   Door(std::size_t tenants, double most_open, double most_bytes)
       : held_(tenants), most_{most_open, most_bytes} {}
