The platform's front serves: HTTP/1.1 in and out around the same module

Need: what runs on the platform goes out of support, and the scheduler is to take its place at a real deployment, with the decisions that the simulator drives.

Change: src/http/ reads and writes messages (Beast's parsers behind a scan that is stricter than theirs); src/platform/ has configuration, discovery, clients' connections, node pool and the module's Host; one reader of the settings for the drill's line and for JSON; the log moves to src/log/, as it has a second user. The module's interface says when a volume's index is another volume's.

--- a/bench/wire.cpp
+++ b/bench/wire.cpp
@@ -122,7 +122,7 @@
     for (const auto& p : problems) std::fprintf(stderr, "%s\n", p.shown().c_str());
     const MonotonicClock clock;
     Loop loop(clock);
-    gateway::Log log("", "error", 100);
+    Log log("", "error", 100);
     gateway::Scheduler s(loop, c.value(), log);
     tell(s.address());
     loop.run();
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -6,6 +6,7 @@
 #include "cli/expr.h"
 #include "cli/ledger.h"
 #include "gateway/scheduler.h"
+#include "platform/run.h"
 
 using namespace heronworks;
 
@@ -54,7 +55,7 @@
   std::signal(SIGXFSZ, SIG_IGN);  // a file that may not grow is a failed write like any other
   const MonotonicClock clock;
   Loop loop(clock);
-  gateway::Log log(c->log_file, c->log_level, c->log_lines);
+  Log log(c->log_file, c->log_level, c->log_lines);
   gateway::Scheduler scheduler(loop, *c, log);
   log.info(loop.now(), "started", {{"address", scheduler.address().text()}, {"index", c->settings.index}});
   bool draining = false;
@@ -78,6 +79,7 @@
   int result = 0;
   auto* s = app.add_subcommand("serve", "run one scheduler; SIGTERM drains it");
   s->add_option("config", path, "configuration, TOML")->required()->check(CLI::ExistingFile);
+  auto* pl = app.add_subcommand("platform", "run one scheduler on the platform, by the variables LB_*");
   auto* k = app.add_subcommand("check", "read a configuration and say what it would do");
   k->add_option("config", path, "configuration, TOML")->required()->check(CLI::ExistingFile);
   auto* e = app.add_subcommand("expr", "the expression language of rules");
@@ -99,6 +101,8 @@
   try {
     if (ledger) {
       result = ledger();
+    } else if (pl->parsed()) {
+      result = platform::run();
     } else if (e->parsed()) {
       result = ec->parsed()   ? cli::expr_check(path)
                : ee->parsed() ? cli::expr_eval(source, transaction)
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -153,6 +153,7 @@
   if (now == stalled_at_) o.contract_at -= std::clamp(profile.cut_off - t.time_left, 0.0, stalled_for_);
   o.landed_at = now;
   o.draw = std::uniform_real_distribution(0.0, 1.0)(random_);
+  if (t.fresh && volumes_.size() > at(t.volume)) volumes_[at(t.volume)] = Volume{};
   Volume& v = volume_of(now, t);
   o.contract_at = std::min(o.contract_at, now + v.patience[at(t.profile)]);
   const auto past = t.has_key ? past_.find(t.key) : past_.end();
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -1,6 +1,4 @@
 // The adapter: speaks the drill's wire on standard input and output for many instances of the module.
-#include <charconv>
-#include <cmath>
 #include <cstdio>
 #include <exception>
 #include <iostream>
@@ -13,6 +11,7 @@
 #include <vector>
 
 #include "control.h"
+#include "settings_reader.h"
 
 namespace heronworks::drill {
 namespace {
@@ -26,7 +25,7 @@
 };
 
 // One line: its message and its fields.
-class Line {
+class Line final : public SettingsFields {
  public:
   Line(std::string_view text, std::size_t number) : number_(number) {
     while (true) {
@@ -39,7 +38,7 @@
 
   std::string_view message() const { return parts_[0]; }
 
-  std::optional<std::string_view> find(std::string_view name) const {
+  std::optional<std::string_view> find(std::string_view name) const override {
     for (std::size_t i = 1; i < parts_.size(); ++i) {
       const auto part = parts_[i];
       if (part.size() > name.size() && part[name.size()] == '=' && part.substr(0, name.size()) == name) {
@@ -49,46 +48,18 @@
     return std::nullopt;
   }
 
-  std::string_view text(std::string_view name) const {
-    const auto value = find(name);
-    if (!value || value->empty()) fail(name);
-    return *value;
+  using SettingsFields::integer;
+  std::int64_t integer(std::string_view name) const {
+    text(name);
+    return integer(name, 0);
   }
 
-  double number(std::string_view name) const { return parsed<double>(name, text(name)); }
-  double number(std::string_view name, double absent) const {
-    const auto value = find(name);
-    return value ? parsed<double>(name, *value) : absent;
-  }
-  std::int64_t integer(std::string_view name) const { return parsed<std::int64_t>(name, text(name)); }
-  std::int64_t integer(std::string_view name, std::int64_t absent) const {
-    const auto value = find(name);
-    return value ? parsed<std::int64_t>(name, *value) : absent;
-  }
-
-  bool flag(std::string_view name) const {
-    const auto value = find(name);
-    if (!value || *value == "0" || *value == "false") return false;
-    if (*value != "1" && *value != "true") fail(name);
-    return true;
-  }
-
-  [[noreturn]] void fail(std::string_view name) const {
+  [[noreturn]] void fail(std::string_view name) const override {
     throw BadInput("line " + std::to_string(number_) + ": " + std::string(message()) + ": bad field '" +
                    std::string(name) + "'");
   }
 
  private:
-  template <typename Number>
-  Number parsed(std::string_view name, std::string_view value) const {
-    Number result{};
-    const auto end = value.data() + value.size();
-    const auto [stop, error] = std::from_chars(value.data(), end, result);
-    // from_chars takes "nan" and "inf"; the wire has whole numbers and fractions.
-    if (error != std::errc() || stop != end || !std::isfinite(static_cast<double>(result))) fail(name);
-    return result;
-  }
-
   std::size_t number_;
   std::vector<std::string_view> parts_;
 };
@@ -115,70 +86,6 @@
   Entry entry;
 };
 
-Settings read_settings(const Line& line, Names& profiles, Names& plans) {
-  Settings s;
-  s.seed = static_cast<std::uint64_t>(line.integer("rng-seed"));
-  s.index = static_cast<int>(line.integer("index", 0));
-  s.schedulers = static_cast<int>(line.integer("balancers", 1));
-  s.largest_units = line.number("family-info.largest", 1.0);
-  s.mean_units = line.number("family-info.mean-units", 0.0);
-  s.share_part = line.number("family-info.share-worth", 1.0);
-  s.spare_part = line.number("family-info.spare-worth", 1.0);
-  s.dispatch_cap = static_cast<int>(line.integer("allowed.attempts-cap", 1));
-  s.asks_for_list = line.find("discovery").value_or("") == "on_request";
-  if (line.flag("allowed.retry-after")) s.max_wait = kMicro * line.number("allowed.max-retry-after", 0.0);
-  s.resolution = kMicro * line.number("resolution", 0.0);
-  s.has_cold_rule = line.find("rules.fall") && line.find("rules.cold");
-  if (s.has_cold_rule) {
-    s.cold_units = line.number("family-info.cold-units", 0.0);
-    s.cold_share = line.number("rules.cold-share", 0.0);
-    s.cold_time = kMicro * line.number("rules.cold");
-    s.tip_multiple = line.number("rules.tip-multiple", 0.0);
-    s.fall_time = kMicro * line.number("rules.fall");
-  }
-  s.has_budget = line.find("rules.extra-window").has_value();
-  if (s.has_budget) {
-    s.budget_free = line.number("rules.free-resends", 0.0);
-    s.budget_share = line.number("rules.extra-per-request", 0.0);
-    s.budget_window = kMicro * line.number("rules.extra-window");
-  }
-  s.turn_gap = kMicro * line.number("rules.turn-gap", 0.0);
-  for (std::int64_t i = 0; i < line.integer("request-classes.count", 0); ++i) {
-    const auto at = "request-classes." + std::to_string(i) + ".";
-    Profile p;
-    p.contract = kMicro * line.number(at + "aim");
-    p.cut_off = kMicro * line.number(at + "give-up");
-    p.benefit = line.number(at + "gain", 1.0);
-    p.label_window = kMicro * line.number(at + "dedup-window", 0.0);
-    const auto effect = line.text(at + "effect");
-    if (effect == "safe") p.repeat = Repeat::kRedoable;
-    else if (effect == "keyed") p.repeat = Repeat::kLabelled;
-    else if (effect == "unsafe") p.repeat = Repeat::kIrreversible;
-    else line.fail(at + "effect");
-    const auto group = line.find(at + "group").value_or("cell");
-    if (group == "all") p.group = Group::kAll;
-    else if (group == "zone") p.group = Group::kZone;
-    else if (group == "cell") p.group = Group::kCell;
-    else line.fail(at + "group");
-    p.in_order = line.flag(at + "sequential");
-    profiles.index(line.text(at + "name"));
-    s.profiles.push_back(p);
-  }
-  for (std::int64_t i = 0; i < line.integer("policies.count", 0); ++i) {
-    const auto at = "policies." + std::to_string(i) + ".";
-    Plan p;
-    p.limit = line.number(at + "ceiling-rate", 0.0);
-    p.burst = line.number(at + "limit-burst", 0.0);
-    p.reservation = line.number(at + "floor-rate", 0.0);
-    p.usual = line.number(at + "nominal", 0.0);
-    p.weight = line.number(at + "shares", 1.0);
-    p.benefit_factor = line.number(at + "worth-factor", 1.0);
-    plans.index(line.text(at + "name"));
-    s.plans.push_back(p);
-  }
-  return s;
-}
-
 Outcome outcome_of(const Line& line) {
   const auto code = line.integer("result");
   if (code < 1 || code > 8) line.fail("result");
@@ -189,8 +96,11 @@
 class Instance final : public Host {
  public:
   Instance(const Line& line, std::string& out, double now) : out_(out), who_(line.integer("who")), now_(now) {
-    Settings settings = read_settings(line, profiles_, plans_);
-    control_ = std::make_unique<Control>(std::move(settings), *this, now);
+    NamedSettings read = read_settings(line);
+    read.settings.seed = static_cast<std::uint64_t>(line.integer("rng-seed"));
+    for (const auto& name : read.profiles) profiles_.index(name);
+    for (const auto& name : read.plans) plans_.index(name);
+    control_ = std::make_unique<Control>(std::move(read.settings), *this, now);
   }
 
   void handle(const Line& line, const std::vector<std::vector<Listed>>& lists, double now) {
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -10,7 +10,7 @@
 #include "gateway/door.h"
 #include "gateway/list_watch.h"
 #include "ledger/keeper.h"
-#include "gateway/log.h"
+#include "log/log.h"
 #include "gateway/match.h"
 #include "gateway/node_link.h"
 #include "nvme/target.h"
--- /dev/null
+++ b/src/http/reader.h
@@ -0,0 +1,72 @@
+// Reads messages of HTTP/1.1 (RFC 9112) from bytes as they come, within bounds, by Boost.Beast's parsers.
+//
+// Stricter than the standard's leave, since two readers of one message must not differ on where it ends: a bare
+// CR or LF, a folded field (5.2), control characters, Content-Length beside Transfer-Encoding (6.1), more than
+// one of either, a coding other than `chunked`, and an answer that only the connection's end would end (6.3) are
+// faults. 1xx answers (RFC 9110, 15.2) are passed over, but for 101.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+
+#include "http/message.h"
+
+namespace heronworks::http {
+
+struct Bounds {
+  std::size_t head = 8192;   // bytes, with the first line
+  std::size_t body = 65536;  // bytes, without framing
+  std::size_t fields = 64;
+};
+
+enum class Kind { kRequest, kAnswer };
+enum class Fault { kNone, kMalformed, kHeadTooLarge, kBodyTooLarge };
+
+class Reader {
+ public:
+  Reader(Kind kind, Bounds bounds);
+  ~Reader();
+  Reader(Reader&&) noexcept;
+  Reader& operator=(Reader&&) noexcept;
+
+  // Returns how many bytes it used, none beyond the end of one message; the others are to come again with
+  // those that follow. Uses nothing once done() or at a fault.
+  std::size_t put(std::span<const std::uint8_t> bytes);
+
+  bool started() const { return started_; }     // some of a message has come
+  bool head_done() const { return head_done_; }
+  bool done() const { return done_; }
+  Fault fault() const { return fault_; }
+  const std::string& reason() const { return reason_; }
+
+  // What is known of the message so far; whole once done().
+  const Message& message() const { return message_; }
+  // Hands the message out and is ready for the next one.
+  Message take();
+  // The part of the body that has come since; for answers that go on. The bound on bodies still counts all.
+  std::string take_body();
+
+ private:
+  struct Parser;
+  bool scan(std::span<const std::uint8_t> bytes);
+  void open_head(std::span<const std::uint8_t> head);
+  void fail(Fault fault, std::string reason);
+  void reset();
+
+  Kind kind_;
+  Bounds bounds_;
+  std::unique_ptr<Parser> parser_;  // from the end of the head to the end of the message
+  Message message_;
+  std::size_t scanned_ = 0;  // bytes of the head that were looked at, still unused
+  int line_ = 0;             // bytes of the present line, CR and LF left out
+  std::uint8_t last_ = 0;
+  bool started_ = false;
+  bool head_done_ = false;
+  bool done_ = false;
+  Fault fault_ = Fault::kNone;
+  std::string reason_;
+};
+
+}  // namespace heronworks::http
--- /dev/null
+++ b/src/http/writer.cpp
@@ -0,0 +1,55 @@
+// Writes HTTP/1.1: see writer.h.
+#include "http/writer.h"
+
+#include <string>
+
+namespace heronworks::http {
+
+std::string_view reason_phrase(int status) {
+  switch (status) {
+    case 200: return "OK";
+    case 400: return "Bad Request";
+    case 404: return "Not Found";
+    case 408: return "Request Timeout";
+    case 409: return "Conflict";
+    case 413: return "Content Too Large";
+    case 429: return "Too Many Requests";
+    case 431: return "Request Header Fields Too Large";
+    case 503: return "Service Unavailable";
+    case 504: return "Gateway Timeout";
+    default: return "Status";
+  }
+}
+
+Writer& Writer::request(std::string_view method, std::string_view target) {
+  text(method);
+  text(" ");
+  text(target);
+  text(" HTTP/1.1\r\n");
+  return *this;
+}
+
+Writer& Writer::answer(int status) {
+  text("HTTP/1.1 ");
+  text(std::to_string(status));
+  text(" ");
+  text(reason_phrase(status));
+  text("\r\n");
+  return *this;
+}
+
+Writer& Writer::field(std::string_view name, std::string_view value) {
+  text(name);
+  text(": ");
+  text(value);
+  text("\r\n");
+  return *this;
+}
+
+void Writer::body(std::string_view bytes) {
+  field("Content-Length", std::to_string(bytes.size()));
+  text("\r\n");
+  text(bytes);
+}
+
+}  // namespace heronworks::http
--- a/src/gateway/log.cpp
+++ b/src/log/log.cpp
@@ -1,5 +1,5 @@
 // Structured logs: see log.h.
-#include "gateway/log.h"
+#include "log/log.h"
 
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -7,7 +7,7 @@
 
 #include <cmath>
 
-namespace heronworks::gateway {
+namespace heronworks {
 namespace {
 constexpr const char* kLevels[] = {"debug", "info", "warn", "error"};
 }
@@ -50,4 +50,4 @@
   logger_->info("{}", line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
-}  // namespace heronworks::gateway
+}  // namespace heronworks
--- a/src/gateway/log.h
+++ b/src/log/log.h
@@ -10,7 +10,7 @@
 class logger;
 }
 
-namespace heronworks::gateway {
+namespace heronworks {
 
 class Log {
  public:
@@ -33,4 +33,4 @@
   double second_ = 0;
 };
 
-}  // namespace heronworks::gateway
+}  // namespace heronworks
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -10,8 +10,8 @@
 
 namespace heronworks {
 
-Stream::Stream(Loop& loop, Fd fd, StreamOwner& owner, bool connecting)
-    : loop_(loop), fd_(std::move(fd)), owner_(owner), connecting_(connecting) {
+Stream::Stream(Loop& loop, Fd fd, StreamOwner& owner, bool connecting, Bounds bounds)
+    : loop_(loop), fd_(std::move(fd)), owner_(owner), bounds_(bounds), connecting_(connecting) {
   loop_.watch(fd_.get(), *this);
   update();
 }
@@ -65,6 +65,8 @@
   if (unsent() == 0) {
     out_.clear();
     out_done_ = 0;
+    if (bounds_.gives_back) out_ = {};
+    if (std::exchange(finishing_, false)) ::shutdown(fd_.get(), SHUT_WR);
   } else if (out_done_ > (std::size_t{1} << 20)) {
     out_.erase(out_.begin(), out_.begin() + static_cast<std::ptrdiff_t>(out_done_));
     out_done_ = 0;
@@ -77,16 +79,46 @@
   paused_ = paused;
   drained_ = false;
   update();
-  if (!paused && in_end_ > 0) {  // what was left unused may be usable now
-    loop_.defer([this, alive = alive_] {
-      if (*alive && !paused_ && in_end_ > 0) {
-        const auto used = owner_.received({in_.data(), in_end_});
-        if (!*alive) return;
-        std::memmove(in_.data(), in_.data() + used, in_end_ - used);
-        in_end_ -= used;
-      }
-    });
+  if (!paused) again();  // what was left unused may be usable now
+}
+
+void Stream::again() {
+  if (in_end_ == 0) return;
+  loop_.defer([this, alive = alive_] {
+    if (*alive && !paused_ && in_end_ > 0) present();
+  });
+}
+
+void Stream::present() {
+  const auto alive = alive_;
+  const auto used = owner_.received({in_.data(), in_end_});
+  if (!*alive) return;
+  if (used > 0) {
+    std::memmove(in_.data(), in_.data() + used, in_end_ - used);
+    in_end_ -= used;
+  }
+  if (in_end_ > bounds_.most_in) return fail("more bytes than one message may have");
+  give_back();
+}
+
+void Stream::give_back() {
+  if (!bounds_.gives_back) return;
+  if (in_end_ == 0) {
+    in_ = {};
+    room_ = kReadAtFirst;
   }
+  if (out_.empty()) out_ = {};
+}
+
+void Stream::finish() {
+  if (!fd_) return;
+  finishing_ = true;
+  flush();
+}
+
+bool Stream::quiet() const {
+  std::uint8_t byte = 0;
+  return fd_ && ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 long Stream::read_some(std::uint8_t* into, std::size_t room) {
@@ -113,7 +145,6 @@
 
 void Stream::readable() {
   if (in_.size() < in_end_ + room_) in_.resize(in_end_ + room_);
-  const auto alive = alive_;
   const auto n = read_some(in_.data() + in_end_, room_);
   if (n < 0) {
     if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) return;
@@ -121,15 +152,9 @@
   }
   if (n == 0) return fail("closed by the peer");
   drained_ = static_cast<std::size_t>(n) < room_;
-  if (!drained_) room_ = std::min(2 * room_, kReadAtOnce);
+  if (!drained_) room_ = std::min(2 * room_, bounds_.read_at_once);
   in_end_ += static_cast<std::size_t>(n);
-  const auto used = owner_.received({in_.data(), in_end_});
-  if (!*alive) return;
-  if (used > 0) {
-    std::memmove(in_.data(), in_.data() + used, in_end_ - used);
-    in_end_ -= used;
-  }
-  if (in_end_ > kMostIn) fail("more bytes than one message may have");
+  present();
 }
 
 void Stream::writable() {
--- a/src/loop/stream.h
+++ b/src/loop/stream.h
@@ -37,8 +37,16 @@
   static constexpr std::size_t kReadAtFirst = std::size_t{8} << 10;
   static constexpr std::size_t kReadAtOnce = std::size_t{256} << 10;  // most bytes of one read
 
+  struct Bounds {
+    std::size_t most_in = kMostIn;
+    std::size_t read_at_once = kReadAtOnce;
+    bool gives_back = false;  // buffers that are empty are freed: for many connections that are idle mostly
+  };
+
   // `connecting`: wait for the connection to come up first.
-  Stream(Loop& loop, Fd fd, StreamOwner& owner, bool connecting = false);
+  Stream(Loop& loop, Fd fd, StreamOwner& owner, bool connecting = false)
+      : Stream(loop, std::move(fd), owner, connecting, Bounds{}) {}
+  Stream(Loop& loop, Fd fd, StreamOwner& owner, bool connecting, Bounds bounds);
   ~Stream() override { close(); }
   Stream(const Stream&) = delete;
   Stream& operator=(const Stream&) = delete;
@@ -49,6 +57,12 @@
   void flush();
 
   void pause(bool paused);
+  // What was left unused is handed over again, later in this turn.
+  void again();
+  // Nothing more is sent: the peer reads the end once it has read what was queued. Reading goes on.
+  void finish();
+  // Nothing has come that is unread and the peer has not closed, as the system knows at this moment.
+  bool quiet() const;
   void close();
   bool open() const { return static_cast<bool>(fd_); }
   std::size_t unsent() const { return out_.size() - out_done_; }
@@ -66,13 +80,17 @@
   void writable() override;
   void broken() override;
   void update();
+  void present();
+  void give_back();
   void fail(const std::string& reason);
   long read_some(std::uint8_t* into, std::size_t room);
 
   Loop& loop_;
   Fd fd_;
   StreamOwner& owner_;
+  const Bounds bounds_;
   bool connecting_;
+  bool finishing_ = false;
   bool paused_ = false;
   bool marks_ = false;
   bool drained_ = true;
@@ -92,6 +110,7 @@
   using Accepted = std::function<void(Fd)>;
   Listener(Loop& loop, Fd fd, Accepted accepted);
   ~Listener() override;
+  Fd accept() { return accept_from(fd_.get()); }  // one that waits, or none
   Address address() const { return local_address(fd_.get()); }
 
  private:
--- /dev/null
+++ b/src/platform/front.h
@@ -0,0 +1,88 @@
+// Clients' connections: one transaction at a time on each, in the order of their requests; time limits; the
+// error owed to what can't be read; whole answers; draining. It knows HTTP and nothing of transactions.
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "http/reader.h"
+#include "loop/stream.h"
+#include "platform/descriptors.h"
+
+namespace heronworks::platform {
+
+using ClientId = std::uint64_t;  // of a connection; never used again
+
+struct ClientAnswer {
+  int status = 0;
+  std::string retry_after;  // empty: none
+  std::string body;
+  bool close = false;  // the connection ends with it
+};
+
+class FrontOwner {
+ public:
+  virtual ~FrontOwner() = default;
+  // A whole request, which is owed one answer. `at`: the earliest time at which it can have come.
+  virtual void asked(ClientId client, http::Message&& request, double at) = 0;
+  // The client closed before its answer; none is owed.
+  virtual void left(ClientId client) = 0;
+};
+
+struct FrontCounts {
+  std::uint64_t accepted = 0;
+  std::uint64_t no_room = 0;    // connections closed at once: every descriptor has a transaction
+  std::uint64_t made_way = 0;   // idle ones closed for a new one
+  std::uint64_t unreadable = 0; // requests answered with an error of the front's own
+  std::uint64_t too_slow = 0;   // connections closed by time
+};
+
+class Front {
+ public:
+  Front(Loop& loop, Fd listener, Descriptors& descriptors, FrontOwner& owner);
+  ~Front();
+
+  void answer(ClientId client, ClientAnswer answer);  // nothing if the client has left
+  // Goes on accepting for `accept_for` seconds, then calls `done` once no connection is left.
+  void drain(double accept_for, std::function<void()> done);
+  std::size_t clients() const { return clients_.size(); }
+  const FrontCounts& counts() const { return counts_; }
+
+ private:
+  struct Client;
+
+  void accepted(Fd fd);
+  bool make_room();
+  void refuse(Client& client, int status);
+  void remove(ClientId client);
+  void sweep();
+  void end_of_accepting();
+  void look_at_drain();
+  template <typename Which>
+  void close_idle(Which which);
+
+  // Time in which a whole request must come, from connecting or from the last answer. Silent and slow senders
+  // hold a descriptor no longer; a request that began late is given kLate more, however its bytes trickle.
+  static constexpr double kWholeWithin = 2.4;  // s
+  static constexpr double kLate = 0.4;         // s
+  // What a client still sends after its error is read and dropped, so that no reset overtakes the error.
+  static constexpr double kDropFor = 2.0;  // s
+  static constexpr std::size_t kDropBytes = std::size_t{96} << 20;
+  static constexpr double kDrainLook = 0.02;  // s between two looks at what is left of a drain
+  static constexpr double kSweep = 0.1;  // s between two looks at time limits
+
+  Loop& loop_;
+  Descriptors& descriptors_;
+  FrontOwner& owner_;
+  std::unique_ptr<Listener> listener_;
+  std::map<ClientId, std::unique_ptr<Client>> clients_;  // bounded by descriptors; emptied as they close
+  std::vector<std::unique_ptr<Client>> closed_;          // freed later in the turn
+  ClientId last_client_ = 0;
+  bool draining_ = false;
+  std::function<void()> drained_;
+  Loop::Timer sweep_ = 0;
+  Loop::Timer drain_ = 0;
+  FrontCounts counts_;
+};
+
+}  // namespace heronworks::platform
--- /dev/null
+++ b/src/platform/node_pool.cpp
@@ -0,0 +1,244 @@
+// Connections to nodes: see node_pool.h.
+#include "platform/node_pool.h"
+
+#include <algorithm>
+
+namespace heronworks::platform {
+namespace {
+
+constexpr http::Bounds kAnswerBounds{8192, 65536, 64};
+constexpr Stream::Bounds kStreamBounds{65536 + 16384, 65536, true};
+
+// What an answer means (the platform's table of outcomes).
+Outcome outcome_of(const http::Message& m) {
+  if (m.status == 200) return Outcome::kHonoured;
+  const std::string* rejected = m.find("X-Rejected");
+  if ((m.status == 503 || m.status == 504) && rejected && *rejected == "1") return Outcome::kFull;
+  return Outcome::kError;
+}
+
+}  // namespace
+
+struct NodePool::Link final : StreamOwner {
+  enum class State { kConnecting, kBusy, kIdle };
+
+  Link(NodePool& p, int n, std::uint64_t i, Fd fd)
+      : pool(p),
+        node(n),
+        id(i),
+        stream(p.loop_, std::move(fd), *this, true, kStreamBounds),
+        reader(http::Kind::kAnswer, kAnswerBounds) {}
+
+  void begin(PoolDispatch d) {
+    dispatch = std::move(d);
+    reader = http::Reader(http::Kind::kAnswer, kAnswerBounds);
+    timer = pool.loop_.at(dispatch.until, [this] { end(Outcome::kTimedOut); });
+    ++pool.nodes_[static_cast<std::size_t>(node)].out;
+  }
+
+  void write() {
+    state = State::kBusy;
+    last_byte = stream.queued() + dispatch.bytes.size();
+    stream.send(dispatch.bytes);
+    dispatch.bytes = {};
+  }
+
+  void connected() override {
+    pool.loop_.cancel(std::exchange(connect_timer, 0));
+    write();
+  }
+
+  std::size_t received(std::span<const std::uint8_t> bytes) override {
+    if (state != State::kBusy) {  // nobody asked
+      ++pool.counts_.surplus;
+      pool.drop(*this);
+      return bytes.size();
+    }
+    const auto used = reader.put(bytes);
+    if (reader.fault() != http::Fault::kNone) {
+      ++pool.counts_.spoilt;
+      end(Outcome::kError);
+      return bytes.size();
+    }
+    if (!reader.done()) return used;
+    http::Message answer = reader.take();
+    const Outcome outcome = outcome_of(answer);
+    const bool more = used < bytes.size();
+    if (more) ++pool.counts_.surplus;
+    // An answer ahead of the transaction's last byte is of no use to what comes next on the connection.
+    const bool keep = !more && answer.keep_alive && stream.unsent() == 0;
+    end(outcome, std::move(answer), keep);
+    return keep ? used : bytes.size();
+  }
+
+  void lost(const std::string&) override {
+    if (state == State::kIdle) return pool.drop(*this);
+    end(unwritten() ? Outcome::kNoConnection : Outcome::kReset);
+  }
+
+  // Whether the node cannot have had the last byte.
+  bool unwritten() const { return state == State::kConnecting || stream.written() < last_byte; }
+
+  // The connection is closed before the owner hears, but after a good answer that leaves it usable.
+  void end(Outcome outcome, http::Message&& answer = {}, bool keep = false) {
+    pool.loop_.cancel(std::exchange(timer, 0));
+    if (outcome == Outcome::kTimedOut && unwritten()) outcome = Outcome::kNoConnection;
+    Node& n = pool.nodes_[static_cast<std::size_t>(node)];
+    --n.out;
+    NodePool& p = pool;
+    const int to = node;
+    const PoolDispatch d = std::move(dispatch);
+    if (keep) {
+      state = State::kIdle;
+      idle_since = pool.loop_.now();
+      n.idle.push_back(id);
+    } else {
+      p.drop(*this);
+    }
+    p.owner_.ended(to, d, outcome, std::move(answer));
+  }
+
+  NodePool& pool;
+  const int node;
+  const std::uint64_t id;
+  Stream stream;
+  http::Reader reader;
+  State state = State::kConnecting;
+  PoolDispatch dispatch;
+  std::uint64_t last_byte = 0;
+  double idle_since = 0;
+  Loop::Timer timer = 0;
+  Loop::Timer connect_timer = 0;
+};
+
+NodePool::NodePool(Loop& loop, Options options, Descriptors& descriptors, NodePoolOwner& owner)
+    : loop_(loop), options_(options), descriptors_(descriptors), owner_(owner) {
+  sweep_ = loop_.at(loop_.now() + kSweep, [this] { sweep(); });
+}
+
+NodePool::~NodePool() {
+  loop_.cancel(sweep_);
+  for (Node& n : nodes_) {
+    for (auto& [id, link] : n.links) {
+      loop_.cancel(link->timer);
+      loop_.cancel(link->connect_timer);
+    }
+  }
+}
+
+void NodePool::place(int node, const Address& address) {
+  while (nodes_.size() <= static_cast<std::size_t>(node)) nodes_.emplace_back();
+  Node& n = nodes_[static_cast<std::size_t>(node)];
+  if (n.address == address) return;
+  n.address = address;
+  close_idle(node);
+}
+
+void NodePool::send(int node, PoolDispatch dispatch) {
+  Node& n = nodes_[static_cast<std::size_t>(node)];
+  while (!n.idle.empty()) {
+    Link& link = *n.links.at(n.idle.back());
+    if (!link.stream.quiet()) {  // closed at the other end, or with bytes that nobody asked for
+      ++counts_.stale;
+      drop(link);
+      continue;
+    }
+    n.idle.pop_back();
+    ++counts_.reused;
+    link.begin(std::move(dispatch));
+    return link.write();
+  }
+  Fd fd;
+  if (make_room(node)) {
+    fd = connect_to(n.address);
+    if (!fd) descriptors_.give(Descriptors::User::kNodes);
+  } else {
+    ++counts_.no_room;
+  }
+  if (!fd) {  // told later, not in the middle of the sending
+    ++n.out;
+    loop_.defer([this, node, d = std::move(dispatch)] {
+      --nodes_[static_cast<std::size_t>(node)].out;
+      owner_.ended(node, d, Outcome::kNoConnection, {});
+    });
+    return;
+  }
+  ++counts_.opened;
+  const auto id = ++last_link_;
+  auto made = std::make_unique<Link>(*this, node, id, std::move(fd));
+  Link& link = *made;
+  n.links.emplace(id, std::move(made));
+  link.begin(std::move(dispatch));
+  link.connect_timer = loop_.at(loop_.now() + options_.connect_timeout, [&link] { link.end(Outcome::kNoConnection); });
+}
+
+// A descriptor for one more connection, if need be that of the longest idle one of another node.
+bool NodePool::make_room(int wanting) {
+  if (descriptors_.take(Descriptors::User::kNodes)) return true;
+  Link* oldest = nullptr;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    Node& n = nodes_[i];
+    if (static_cast<int>(i) == wanting || n.idle.empty()) continue;
+    Link& first = *n.links.at(n.idle.front());
+    if (oldest == nullptr || first.idle_since < oldest->idle_since) oldest = &first;
+  }
+  if (oldest == nullptr) return false;
+  drop(*oldest);
+  return descriptors_.take(Descriptors::User::kNodes);
+}
+
+// Closes a connection; whoever waits on it has been told or is told by the caller.
+void NodePool::drop(Link& link) {
+  Node& n = nodes_[static_cast<std::size_t>(link.node)];
+  const auto at = n.links.find(link.id);
+  if (at == n.links.end()) return;
+  loop_.cancel(link.timer);
+  loop_.cancel(link.connect_timer);
+  link.stream.close();
+  descriptors_.give(Descriptors::User::kNodes);
+  std::erase(n.idle, link.id);
+  if (closed_.empty()) loop_.defer([this] { closed_.clear(); });
+  closed_.push_back(std::move(at->second));
+  n.links.erase(at);
+}
+
+void NodePool::close_idle(int node) {
+  Node& n = nodes_[static_cast<std::size_t>(node)];
+  while (!n.idle.empty()) drop(*n.links.at(n.idle.back()));
+}
+
+void NodePool::wind_up(int node) {
+  if (nodes_.size() <= static_cast<std::size_t>(node)) return;
+  close_idle(node);
+  std::vector<std::uint64_t> waiting;
+  for (const auto& [id, link] : nodes_[static_cast<std::size_t>(node)].links) {
+    // One that has written nothing yet counts as not begun.
+    if (link->state == Link::State::kConnecting) waiting.push_back(id);
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const auto id : waiting) {
+    const auto& links = nodes_[static_cast<std::size_t>(node)].links;
+    if (const auto at = links.find(id); at != links.end()) at->second->end(Outcome::kNoConnection);
+  }
+}
+
+int NodePool::out(int node) const {
+  return nodes_.size() <= static_cast<std::size_t>(node) ? 0 : nodes_[static_cast<std::size_t>(node)].out;
+}
+
+std::size_t NodePool::idle() const {
+  std::size_t sum = 0;
+  for (const Node& n : nodes_) sum += n.idle.size();
+  return sum;
+}
+
+void NodePool::sweep() {
+  for (Node& n : nodes_) {
+    while (!n.idle.empty() && n.links.at(n.idle.front())->idle_since + options_.idle <= loop_.now()) {
+      drop(*n.links.at(n.idle.front()));
+    }
+  }
+  sweep_ = loop_.at(loop_.now() + kSweep, [this] { sweep(); });
+}
+
+}  // namespace heronworks::platform
--- /dev/null
+++ b/src/platform/scheduler.cpp
@@ -0,0 +1,369 @@
+// One running scheduler on the platform: see scheduler.h.
+#include "platform/scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstring>
+
+#include "http/writer.h"
+
+namespace heronworks::platform {
+namespace {
+
+constexpr double kReportEvery = 1.0;  // s between two lines of counts in the log
+constexpr double kBeat = 0.02;        // s between two looks at the sockets, at most; the loop then knows a stall
+constexpr double kAcceptFor = 0.6;    // s after SIGTERM in which new connections are taken
+constexpr double kGoneFor = 10.0;     // s after which the index of a node that is gone is given away
+constexpr double kVolumeRest = 30.0;  // s; no shorter than a limit's store needs to be full again
+constexpr int kTurnedBack = 503;
+constexpr int kGivenUp = 504;
+
+std::string seconds(double s) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", s);
+  return text;
+}
+
+double volume_rest(const Settings& s) {
+  double rest = kVolumeRest;
+  for (const Plan& p : s.plans) {
+    if (p.limit > 0) rest = std::max(rest, 2 * p.burst / p.limit);
+  }
+  return rest;
+}
+
+}  // namespace
+
+Scheduler::Scheduler(Loop& loop, Config config, Log& log)
+    : loop_(loop),
+      config_(std::move(config)),
+      log_(log),
+      wall_offset_(wall_offset()),
+      descriptors_(config_.descriptors),
+      volumes_(volume_rest(config_.settings())) {
+  Fd listener = listen_on(config_.listen, 1024);
+  if (!listener) throw std::runtime_error("cannot listen on " + config_.listen.text() + ": " + std::strerror(errno));
+  NodePool::Options pool;
+  if (config_.connect_timeout > 0) pool.connect_timeout = config_.connect_timeout;
+  if (config_.idle_close > 0) pool.idle = config_.idle_close / 2;
+  pool_ = std::make_unique<NodePool>(loop_, pool, descriptors_, *this);
+  Discovery::Options discovery;
+  discovery.address = config_.discovery;
+  if (config_.ask_within > 0) discovery.silence = std::min(discovery.silence, config_.ask_within / 2);
+  discovery_ = std::make_unique<Discovery>(loop_, discovery, *this);
+  control_ = std::make_unique<Control>(config_.settings(), *this, now());
+  if (config_.known.whole) {
+    take_news(config_.known, Scope::kSaved);
+    discovery_->knows(config_.known.version);
+  }
+  front_ = std::make_unique<Front>(loop_, std::move(listener), descriptors_, *this);
+  report_ = loop_.at(loop_.now() + kReportEvery, [this] { report(); });
+  beat();
+}
+
+Scheduler::~Scheduler() {
+  loop_.cancel(wake_);
+  loop_.cancel(beat_);
+  loop_.cancel(report_);
+}
+
+void Scheduler::beat() {
+  if (const double still = loop_.now() - beat_due_; beat_due_ > 0 && still > Loop::kStall) {
+    log_.warn(loop_.now(), "stood_still", {{"seconds", still}});
+  }
+  beat_due_ = loop_.now() + kBeat;
+  beat_ = loop_.at(beat_due_, [this] { beat(); });
+}
+
+void Scheduler::drain(std::function<void()> done) {
+  log_.info(loop_.now(), "drain.began", {{"open", open()}, {"clients", front_->clients()}});
+  front_->drain(kAcceptFor, [this, done = std::move(done)] {
+    log_.info(loop_.now(), "drain.done", {{"open", open()}});
+    done();
+  });
+}
+
+void Scheduler::reload(const Config& c) {
+  const auto rest = [](nlohmann::json j) {
+    for (const char* own : {"discovery", "seed", "known"}) j.erase(own);
+    return j;
+  };
+  const auto before = rest(config_.source);
+  const auto after = rest(c.source);
+  for (const auto& [field, value] : after.items()) {
+    const auto at = before.find(field);
+    if (at == before.end() || *at != value) log_.warn(loop_.now(), "reload.not_taken", {{"field", field}});
+  }
+  for (const auto& [field, value] : before.items()) {
+    if (!after.contains(field)) log_.warn(loop_.now(), "reload.not_taken", {{"field", field}});
+  }
+  log_.info(loop_.now(), "reload", {{"discovery", c.discovery.text()}, {"before", config_.discovery.text()}});
+  if (c.discovery == config_.discovery) return;
+  config_.discovery = c.discovery;
+  discovery_->move_to(c.discovery);
+  discovery_->watch();
+}
+
+// ---- From clients ----
+
+void Scheduler::asked(ClientId client, http::Message&& request, double at) {
+  if (request.target == "/healthz" && request.method == "GET") return front_->answer(client, {200, "", "ok\n"});
+  const auto refuse = [&](int status, const std::string& reason) {
+    ++counts_.refused;
+    log_.debug(loop_.now(), "refused", {{"reason", reason}});
+    front_->answer(client, {status, "", reason + "\n"});
+  };
+  auto read = read_wanted(request, config_);
+  if (const auto* r = std::get_if<Refused>(&read)) return refuse(r->status, r->reason);
+  Wanted& w = std::get<Wanted>(read);
+  if (by_call_.contains(w.call)) return refuse(409, "X-Call-Id is open");
+  const auto place = volumes_.index(now(), w.volume);
+  if (!place) {
+    ++counts_.at_door;
+    return front_->answer(client, {kTurnedBack, seconds(config_.settings().max_wait), ""});
+  }
+  // The client's time has been running since it sent this, which may be long ago if this scheduler stood still.
+  w.t.time_left -= std::max(now() - at, 0.0);
+  w.t.volume = place->index;
+  w.t.fresh = place->fresh;
+
+  int id = 0;
+  if (free_.empty()) {
+    id = static_cast<int>(slots_.size());
+    slots_.emplace_back();
+  } else {
+    id = free_.back();
+    free_.pop_back();
+  }
+  Slot& s = slot(id);
+  s = Slot{};
+  s.used = true;
+  s.client = client;
+  s.profile = w.t.profile;
+  s.volume = w.volume;
+  s.call = w.call;
+  s.request = std::move(request);
+  by_client_[client] = id;
+  by_call_[w.call] = id;
+  ++counts_.landed;
+  control_->landed(now(), id, w.t);
+}
+
+void Scheduler::left(ClientId client) {
+  const auto at = by_client_.find(client);
+  if (at == by_client_.end()) return;
+  const int id = at->second;
+  Slot& s = slot(id);
+  by_client_.erase(at);
+  by_call_.erase(s.call);
+  s.answered = true;
+  s.request = {};
+  ++counts_.abandoned;
+  control_->abandoned(now(), id);
+}
+
+void Scheduler::answer(Slot& s, ClientAnswer a) {
+  if (s.answered) return;
+  s.answered = true;
+  s.request = {};
+  by_client_.erase(s.client);
+  by_call_.erase(s.call);
+  front_->answer(s.client, std::move(a));
+}
+
+// ---- From the module ----
+
+void Scheduler::dispatch(int transaction, int node, double try_for) {
+  Slot& s = slot(transaction);
+  ++counts_.dispatched;
+  const auto& profile = config_.settings().profiles[static_cast<std::size_t>(s.profile)];
+  const double wait = try_for > 0 ? try_for : profile.cut_off;
+  PoolDispatch d;
+  d.transaction = transaction;
+  d.number = s.dispatches++;
+  d.sent_at = now();
+  d.until = now() + wait;
+  http::Writer writer(d.bytes);
+  writer.request(s.request.method, s.request.target).field("Host", "node").field("X-Call-Id", s.call);
+  for (const char* name : {"X-Call-Class", "Tier", "IO-Info", "Idempotency-Key", "Content-Type"}) {
+    if (const std::string* value = s.request.find(name)) writer.field(name, *value);
+  }
+  writer.field("X-Budget-Ms", std::to_string(std::max(1L, std::lround(1000 * wait))));
+  if (s.request.method == "GET") writer.end();
+  else writer.body(s.request.body);
+  pool_->send(node, std::move(d));
+}
+
+void Scheduler::turn_back(int transaction, double wait) {
+  ++counts_.turned_back;
+  answer(slot(transaction), {kTurnedBack, wait > 0 ? seconds(wait) : "", ""});
+}
+
+void Scheduler::give_up(int transaction) {
+  ++counts_.given_up;
+  answer(slot(transaction), {kGivenUp, "", ""});
+}
+
+void Scheduler::forget(int transaction) {
+  Slot& s = slot(transaction);
+  volumes_.ended(now(), s.volume);
+  s = Slot{};
+  free_.push_back(transaction);
+}
+
+void Scheduler::watch_list() { discovery_->watch(); }
+
+void Scheduler::wake_at(double time) {
+  loop_.cancel(wake_);
+  wake_ = loop_.at(time, [this] { control_->woken(now()); });
+}
+
+// ---- From nodes ----
+
+void Scheduler::ended(int node, const PoolDispatch& d, Outcome outcome, http::Message&& a) {
+  Slot& s = slot(d.transaction);
+  ++counts_.outcomes[static_cast<std::size_t>(outcome)];
+  Reply r;
+  r.dispatch = d.number;
+  r.node = node;
+  r.elapsed = std::max(now() - d.sent_at, 0.0);
+  r.outcome = outcome;
+  const auto figure = [&](const char* name) -> std::optional<double> {
+    const std::string* text = a.count(name) == 1 ? a.find(name) : nullptr;
+    if (text == nullptr || text->empty()) return std::nullopt;
+    char* end = nullptr;
+    const double value = std::strtod(text->c_str(), &end);
+    if (*end != 0 || !std::isfinite(value) || value < 0) return std::nullopt;
+    return value;
+  };
+  r.by_others = figure("Other-Hosts").value_or(0);
+  r.metered = figure("Volume-Load").has_value();  // the simulator's figure less 1: 0 is one that was told
+  if (outcome == Outcome::kHonoured && !s.answered) {
+    ++counts_.honoured;
+    answer(s, {200, "", std::move(a.body)});
+  }
+  r.finished = s.answered;
+  control_->replied(now(), d.transaction, r);
+}
+
+// ---- From discovery ----
+
+std::vector<Entry> Scheduler::take_servers(const std::vector<Server>& servers, bool whole) {
+  std::vector<Entry> entries;
+  std::set<int> named;
+  for (const Server& l : servers) {
+    const auto known = node_numbers_.find(l.id);
+    if (known == node_numbers_.end() && l.listing == Listing::kGone) continue;
+    Entry e;
+    e.fresh = known == node_numbers_.end();
+    if (!e.fresh) {
+      e.node = known->second;
+    } else {
+      e.node = free_numbers_.empty() ? static_cast<int>(nodes_.size()) : free_numbers_.back();
+      if (free_numbers_.empty()) nodes_.emplace_back();
+      else free_numbers_.pop_back();
+      node_numbers_[l.id] = e.node;
+      nodes_[static_cast<std::size_t>(e.node)] = NodeEntry{l.id, {}, 0};
+    }
+    NodeEntry& n = nodes_[static_cast<std::size_t>(e.node)];
+    if (l.listing == Listing::kGone) {
+      const bool fresh = e.fresh;
+      e = n.listed;
+      e.fresh = fresh;
+    } else {
+      e.zone = zones_.emplace(l.zone, static_cast<int>(zones_.size())).first->second;
+      e.shard = l.shard;
+      e.came_up = l.started == 0 ? 0 : std::max(l.started - wall_offset_, 1e-6);
+      pool_->place(e.node, l.address);
+      if (!e.fresh && e.came_up > n.listed.came_up) pool_->close_idle(e.node);
+    }
+    e.listing = l.listing;
+    if (l.listing == Listing::kGone && n.listed.listing != Listing::kGone) n.gone_at = loop_.now();
+    n.listed = e;
+    n.listed.fresh = false;
+    entries.push_back(e);
+    named.insert(e.node);
+  }
+  for (std::size_t i = 0; whole && i < nodes_.size(); ++i) {
+    NodeEntry& n = nodes_[i];
+    if (n.id.empty() || named.contains(static_cast<int>(i)) || n.listed.listing == Listing::kGone) continue;
+    n.listed.listing = Listing::kGone;
+    n.gone_at = loop_.now();
+  }
+  return entries;
+}
+
+void Scheduler::take_news(const ServerNews& news, Scope scope) {
+  for (const auto& fault : news.faults) log_.warn(loop_.now(), "list.bad_entry", {{"fault", fault}});
+  const auto entries = take_servers(news.servers, news.whole);
+  control_->list_news(now(), scope, entries);
+  // The module has heard: nothing more goes there, and what has not begun yet is taken back.
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (!nodes_[i].id.empty() && nodes_[i].listed.listing != Listing::kReady) pool_->wind_up(static_cast<int>(i));
+  }
+  let_go_of_gone();
+}
+
+// Danger: machines are replaced all day under new ids, and each would keep its place. One that is gone for long
+// enough and has nothing out is let go of; another gets its number.
+void Scheduler::let_go_of_gone() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    NodeEntry& n = nodes_[i];
+    if (n.id.empty() || n.listed.listing != Listing::kGone || loop_.now() < n.gone_at + kGoneFor) continue;
+    if (pool_->out(static_cast<int>(i)) > 0) continue;
+    node_numbers_.erase(n.id);
+    n = NodeEntry{};
+    free_numbers_.push_back(static_cast<int>(i));
+  }
+}
+
+void Scheduler::news(const ServerNews& news) {
+  log_.debug(loop_.now(), "list.came",
+             {{"version", news.version}, {"whole", news.whole}, {"entries", news.servers.size()}});
+  take_news(news, news.whole ? Scope::kWhole : Scope::kChanges);
+}
+
+void Scheduler::discovery_failed(const std::string& reason) {
+  log_.warn(loop_.now(), "list.failed", {{"reason", reason}});
+  control_->list_news(now(), Scope::kFailed, {});
+}
+
+void Scheduler::report() {
+  const auto since = [&](auto field) { return counts_.*field - reported_.*field; };
+  const FrontCounts& f = front_->counts();
+  const PoolCounts& p = pool_->counts();
+  nlohmann::json outcomes = nlohmann::json::array();
+  for (std::size_t i = 0; i < 8; ++i) outcomes.push_back(counts_.outcomes[i] - reported_.outcomes[i]);
+  log_.info(loop_.now(), "second",
+            {{"landed", since(&Counts::landed)},
+             {"honoured", since(&Counts::honoured)},
+             {"turned_back", since(&Counts::turned_back)},
+             {"given_up", since(&Counts::given_up)},
+             {"abandoned", since(&Counts::abandoned)},
+             {"dispatched", since(&Counts::dispatched)},
+             {"refused", since(&Counts::refused)},
+             {"at_door", since(&Counts::at_door)},
+             {"outcomes", outcomes},
+             {"open", open()},
+             {"clients", front_->clients()},
+             {"accepted", f.accepted - reported_front_.accepted},
+             {"no_room", f.no_room - reported_front_.no_room},
+             {"made_way", f.made_way - reported_front_.made_way},
+             {"unreadable", f.unreadable - reported_front_.unreadable},
+             {"too_slow", f.too_slow - reported_front_.too_slow},
+             {"opened", p.opened - reported_pool_.opened},
+             {"reused", p.reused - reported_pool_.reused},
+             {"stale", p.stale - reported_pool_.stale},
+             {"spoilt", p.spoilt - reported_pool_.spoilt},
+             {"surplus", p.surplus - reported_pool_.surplus},
+             {"no_descriptor", p.no_room - reported_pool_.no_room},
+             {"node_links", descriptors_.taken(Descriptors::User::kNodes)},
+             {"nodes", node_numbers_.size()},
+             {"volumes", volumes_.size()}});
+  reported_ = counts_;
+  reported_front_ = f;
+  reported_pool_ = p;
+  report_ = loop_.at(loop_.now() + kReportEvery, [this] { report(); });
+}
+
+}  // namespace heronworks::platform
--- a/src/state.h
+++ b/src/state.h
@@ -33,6 +33,7 @@
   int plan = 0;
   int shard = -1;  // -1: a new object, any node
   int hosts = 0;   // 0: not said
+  bool fresh = false;  // the index is another volume's from now on; nothing is open of the one that had it
 };
 
 // The end of one dispatch.
--- a/tests/gateway/rig.h
+++ b/tests/gateway/rig.h
@@ -226,7 +226,7 @@
 
   C clock;
   Loop loop;
-  gateway::Log log{"", "error", 100};
+  Log log{"", "error", 100};
   ScriptList list;
   std::array<std::unique_ptr<ScriptNode>, 2> nodes;
   config::GatewayConfig config;
