A scheduler that is to stop serves on the connections it has until its time is nearly up

Logs: each scheduler had ended 0.6 s after SIGTERM and was back 4.4 s after it. Ruled out: reloads (8 taken, lists go on), crashes (none), lost transactions (rules kept), slow starts (ready in 0.0 s). Cause: Front::drain closed idle connections at SIGTERM and answered with `Connection: close`, while clients keep to the connections they have for as long as those are open and nobody else serves their volumes. Change: it accepts for 0.6 s, serves on what is open until 0.4 s before it may be killed, and what comes is given no more time than is left, so that all is answered by then. What is left there is clients whose connections are all in use and who can open no other, and the 0.8 s without a process.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -106,6 +106,7 @@
 Front::~Front() {
   loop_.cancel(sweep_);
   loop_.cancel(drain_);
+  loop_.cancel(accept_end_);
 }
 
 void Front::accepted(Fd fd) {
@@ -139,7 +140,7 @@
   const auto at = clients_.find(client);
   if (at == clients_.end() || at->second->state != Client::State::kOpen) return;
   Client& c = *at->second;
-  const bool last = a.close || !c.keep || draining_;
+  const bool last = a.close || !c.keep || ending_;
   http::Writer writer(c.stream.out());
   writer.answer(a.status);
   if (!a.retry_after.empty()) writer.field("Retry-After", a.retry_after);
@@ -177,6 +178,8 @@
     if (c->state == Client::State::kDropping) {
       if (now >= c->since + kDropFor) over.push_back(id);
     } else if (c->state == Client::State::kReading && now >= c->since + kWholeWithin) {
+      // A drain's clients can open no others: what they have stays.
+      if (draining_ && c->asked && !c->reader.started()) continue;
       const bool late = c->began > 0 && c->began > c->since + kWholeWithin - kLate && now < c->began + kLate;
       if (!late) over.push_back(id);
     }
@@ -193,12 +196,11 @@
   sweep_ = loop_.at(loop_.now() + kSweep, [this] { sweep(); });
 }
 
-void Front::drain(double accept_for, std::function<void()> done) {
+void Front::drain(double accept_for, double serve_for, std::function<void()> done) {
   draining_ = true;
   drained_ = std::move(done);
-  // Idle ones go now, while a client whose request crosses this finds the listener open.
-  close_idle([](const Client& c) { return c.asked; });
-  drain_ = loop_.at(loop_.now() + accept_for, [this] { end_of_accepting(); });
+  accept_end_ = loop_.at(loop_.now() + accept_for, [this] { end_of_accepting(); });
+  drain_ = loop_.at(loop_.now() + std::max(accept_for, serve_for), [this] { end_of_serving(); });
 }
 
 void Front::end_of_accepting() {
@@ -208,6 +210,10 @@
     accepted(std::move(fd));
   }
   listener_.reset();
+}
+
+void Front::end_of_serving() {
+  ending_ = true;
   look_at_drain();
 }
 
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -43,8 +43,9 @@
   ~Front();
 
   void answer(ClientId client, ClientAnswer answer);  // nothing if the client has left
-  // Goes on accepting for `accept_for` seconds, then calls `done` once no connection is left.
-  void drain(double accept_for, std::function<void()> done);
+  // Goes on accepting for `accept_for` seconds and serving on the connections that there are for `serve_for`,
+  // then ends each with its answer, or at once if nothing has come on it, and calls `done` when none is left.
+  void drain(double accept_for, double serve_for, std::function<void()> done);
   std::size_t clients() const { return clients_.size(); }
   const FrontCounts& counts() const { return counts_; }
 
@@ -57,6 +58,7 @@
   void remove(ClientId client);
   void sweep();
   void end_of_accepting();
+  void end_of_serving();
   void look_at_drain();
   template <typename Which>
   void close_idle(Which which);
@@ -79,9 +81,11 @@
   std::vector<std::unique_ptr<Client>> closed_;          // freed later in the turn
   ClientId last_client_ = 0;
   bool draining_ = false;
+  bool ending_ = false;  // answers are each connection's last
   std::function<void()> drained_;
   Loop::Timer sweep_ = 0;
   Loop::Timer drain_ = 0;
+  Loop::Timer accept_end_ = 0;
   FrontCounts counts_;
 };
 
--- a/src/platform/scheduler.cpp
+++ b/src/platform/scheduler.cpp
@@ -12,6 +12,13 @@
 
 constexpr double kReportEvery = 1.0;  // s between two lines of counts in the log
 constexpr double kBeat = 0.02;        // s between two looks at the sockets, at most; the loop then knows a stall
+// The platform kills a scheduler that is to stop no sooner than its longest cut-off, counted as 3 s where it is
+// longer, and 0.7 s after SIGTERM. Its clients open connections for up to 0.4 s and keep to those they have for as
+// long as they are open: nobody else serves them. So it serves on, and what comes is given no more time than is
+// left of the stop.
+constexpr double kStopCutOff = 3.0;   // s
+constexpr double kStopSlack = 0.6;    // s after it, by which all is answered
+constexpr double kStopServe = 0.3;    // s after it, until which what comes is still served
 constexpr double kAcceptFor = 0.6;    // s after SIGTERM in which new connections are taken
 constexpr double kGoneFor = 10.0;     // s after which the index of a node that is gone is given away
 constexpr double kVolumeRest = 30.0;  // s; no shorter than a limit's store needs to be full again
@@ -77,7 +84,11 @@
 
 void Scheduler::drain(std::function<void()> done) {
   log_.info(loop_.now(), "drain.began", {{"open", open()}, {"clients", front_->clients()}});
-  front_->drain(kAcceptFor, [this, done = std::move(done)] {
+  double longest = 0;
+  for (const Profile& p : config_.settings().profiles) longest = std::max(longest, p.cut_off);
+  longest = std::min(longest, kStopCutOff);
+  stop_at_ = loop_.now() + longest + kStopSlack;
+  front_->drain(kAcceptFor, longest + kStopServe, [this, done = std::move(done)] {
     log_.info(loop_.now(), "drain.done", {{"open", open()}});
     done();
   });
@@ -107,7 +118,9 @@
 // ---- From clients ----
 
 void Scheduler::asked(ClientId client, http::Message&& request, double at) {
-  if (request.target == "/healthz" && request.method == "GET") return front_->answer(client, {200, "", "ok\n"});
+  if (request.target == "/healthz" && request.method == "GET") {
+    return front_->answer(client, {stop_at_ > 0 ? 503 : 200, "", stop_at_ > 0 ? "stopping\n" : "ok\n"});
+  }
   const auto refuse = [&](int status, const std::string& reason) {
     ++counts_.refused;
     log_.debug(loop_.now(), "refused", {{"reason", reason}});
@@ -124,6 +137,7 @@
   }
   // The client's time has been running since it sent this, which may be long ago if this scheduler stood still.
   w.t.time_left -= std::max(now() - at, 0.0);
+  if (stop_at_ > 0) w.t.time_left = std::min(w.t.time_left, stop_at_ - now());
   w.t.volume = place->index;
   w.t.fresh = place->fresh;
 
--- a/src/platform/scheduler.h
+++ b/src/platform/scheduler.h
@@ -114,6 +114,7 @@
   Loop::Timer beat_ = 0;
   Loop::Timer report_ = 0;
   double beat_due_ = 0;
+  double stop_at_ = 0;  // when all must be answered; 0: not stopping
   Counts counts_;
   Counts reported_;
   FrontCounts reported_front_;
