--- a/src/control.cpp
+++ b/src/control.cpp
@@ -204,10 +204,11 @@
   Volume& v = volume_of(now, o.t);
   if (tells && (honoured || r.outcome == Outcome::kTimedOut)) {
     // A reply that was not waited for would have come later. Danger: one very heavy transaction, or a pause,
-    // looks like a long queue; so what one reply may say is capped, and good news counts more.
-    const double seen = honoured
-                            ? std::min(r.elapsed, kMostJump * std::max(node.latency, kAimPart * tightest_))
-                            : std::max(kMostJump * r.elapsed, node.latency);
+    // looks like a long queue; so what one reply may say is capped, and good news counts more. The same for one
+    // that got lost among good ones, as on a connection that fell silent; a node that hangs answers none.
+    const double most = kMostJump * std::max(node.latency, kAimPart * tightest_);
+    const double word = honoured ? r.elapsed : std::max(kMostJump * r.elapsed, node.latency);
+    const double seen = honoured || !node.bad_before ? std::min(word, most) : word;
     const double gain = seen < node.latency ? kFallGain : kLatencyGain;
     node.latency += gain * (seen - node.latency);
     node.wait += gain * (seen - node.best * o.t.units - node.wait);
--- a/src/platform/scheduler.cpp
+++ b/src/platform/scheduler.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstring>
+#include <fstream>
 
 #include "http/writer.h"
 
@@ -39,6 +40,15 @@
   return rest;
 }
 
+// From /proc/self/schedstat: nanoseconds on a core, and ready to run without one. Zeros where there is none.
+Cpu own_cpu() {
+  std::ifstream file("/proc/self/schedstat");
+  double used = 0;
+  double waited = 0;
+  if (!(file >> used >> waited)) return {};
+  return {1e-9 * used, 1e-9 * waited};
+}
+
 }  // namespace
 
 Scheduler::Scheduler(Loop& loop, Config config, Log& log)
@@ -346,6 +356,7 @@
   const auto since = [&](auto field) { return counts_.*field - reported_.*field; };
   const FrontCounts& f = front_->counts();
   const PoolCounts& p = pool_->counts();
+  const Cpu cpu = own_cpu();
   nlohmann::json outcomes = nlohmann::json::array();
   for (std::size_t i = 0; i < 8; ++i) outcomes.push_back(counts_.outcomes[i] - reported_.outcomes[i]);
   log_.info(loop_.now(), "second",
@@ -358,6 +369,8 @@
              {"refused", since(&Counts::refused)},
              {"at_door", since(&Counts::at_door)},
              {"outcomes", outcomes},
+             {"cpu", cpu.used - reported_cpu_.used},
+             {"cpu_waited", cpu.waited - reported_cpu_.waited},
              {"open", open()},
              {"clients", front_->clients()},
              {"accepted", f.accepted - reported_front_.accepted},
@@ -377,6 +390,7 @@
   reported_ = counts_;
   reported_front_ = f;
   reported_pool_ = p;
+  reported_cpu_ = cpu;
   report_ = loop_.at(loop_.now() + kReportEvery, [this] { report(); });
 }
 
--- a/src/platform/scheduler.h
+++ b/src/platform/scheduler.h
@@ -31,6 +31,12 @@
   std::uint64_t outcomes[8] = {};  // of dispatches, by Outcome
 };
 
+// Seconds since the start.
+struct Cpu {
+  double used = 0;
+  double waited = 0;  // ready to run, without a core or beyond its part of one
+};
+
 class Scheduler final : public Host, public FrontOwner, public NodePoolOwner, public DiscoveryOwner {
  public:
   // Throws std::runtime_error if it cannot listen.
@@ -119,6 +125,7 @@
   Counts reported_;
   FrontCounts reported_front_;
   PoolCounts reported_pool_;
+  Cpu reported_cpu_;
 };
 
 }  // namespace heronworks::platform
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -252,6 +252,43 @@
   CHECK(s.matches("patience"));
 }
 
+TEST_CASE("patience: the few that leave at once among many that stay shorten nobody's contract time") {
+  Stage s(plain_settings(), {listed(0)});
+  for (int i = 0; i < 40; ++i) {
+    s.until(100 + i * 0.01);
+    s.land(i, 0, 1, i % 5 == 4 ? 5 : 0);  // a fifth waits for a shard without a node, and leaves
+    if (i % 5 == 4) s.abandon(i);
+    else s.reply(i, Outcome::kHonoured, 0.005);
+  }
+  s.quiet();
+  s.land(50, 0, 1, 5, 0, 200);
+  s.until(101);
+  CHECK(s.matches("stayed"));
+}
+
+TEST_CASE("a time-out that stands alone among good replies does not shut its node; a run of them does") {
+  Settings settings = plain_settings();
+  settings.plans[0].reservation = settings.plans[0].usual = 1000;
+  Stage s(settings, {listed(0)});
+  const auto replies = [&](int from, const std::vector<bool>& good) {
+    for (std::size_t i = 0; i < good.size(); ++i) {
+      const int id = from + static_cast<int>(i);
+      s.land(id);
+      s.until(s.now() + 0.02);
+      s.reply(id, good[i] ? Outcome::kHonoured : Outcome::kTimedOut, good[i] ? 0.02 : 0.8);
+    }
+  };
+  replies(0, std::vector<bool>(60, true));
+  replies(60, {false, true, false, true});
+  s.quiet();
+  s.say("after two that stood alone");
+  replies(70, {true});
+  replies(80, {false, false, false, false});
+  s.say("after four in a row");
+  replies(90, {true});
+  CHECK(s.matches("alone"));
+}
+
 TEST_CASE("a tenant that lands and leaves at once shortens nobody else's contract time") {
   Stage s(plain_settings(), {listed(0)});
   for (int i = 0; i < 40; ++i) {
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -97,6 +97,8 @@
   }
   void news(Scope scope, std::vector<Entry> nodes = {}) { control_->list_news(now_, scope, nodes); }
   void abandon(int id) { control_->abandoned(now_, id); }
+  void quiet() { trace_.clear(); }  // what came so far is not of interest
+  double now() const { return now_; }
   void say(const std::string& text) { trace_ += "-- " + text + "\n"; }
 
   bool matches(const std::string& name) const {
