Whole entries of a broken line of the list count at once; a silent watch and failing calls are noticed sooner

Checked in logs of the watch with versions and with the bytes of a line that were there at its end: watches fall silent, lines stop short after 10 to 724 bytes, calls break off several times in a row. Ruled out: connections coming up as their node drains (taken back), nodes numbered anew, news in the wrong order. Lines at fault: Discovery counted a watch as silent after 5 s only, and threw away a line without its end, with whole entries in it that were told; Control doubled its pause between failing calls up to 6 s, which is all that may pass.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -60,7 +60,7 @@
 constexpr double kManagedKeep = 0.9;  // a second: what is kept of a shard's usual service
 constexpr int kBudgetSlots = 20;      // parts of the budget's window
 constexpr double kAskFirst = 0.5;     // s before a failed call for the list is made again, doubling
-constexpr double kAskMost = 6.0;      // s between calls at most
+constexpr double kAskMost = 2.0;      // s between calls at most; several must fit in what may pass untold
 constexpr double kNever = std::numeric_limits<double>::infinity();
 
 static_assert(std::tuple_size_v<decltype(Node::recent)> == kFlushPeriods);
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -34,6 +34,7 @@
   stop();
   reader_ = http::Reader(http::Kind::kAnswer, kWatchBounds);
   line_.clear();
+  partial_.reset();
   answered_ = false;
   Fd fd = connect_to(options_.address);
   if (!fd) {
@@ -59,8 +60,10 @@
 }
 
 void Discovery::failed(const std::string& reason) {
+  const std::size_t unread = std::exchange(line_, {}).size();
+  partial_.reset();
   stop();
-  owner_.discovery_failed(reason);
+  owner_.discovery_failed(unread == 0 ? reason : reason + ", after " + std::to_string(unread) + " bytes of a line");
 }
 
 std::size_t Discovery::received(std::span<const std::uint8_t> bytes) {
@@ -86,12 +89,16 @@
     line_.append(bytes, from, end - from);
     from = end + 1;
     const std::string whole = std::exchange(line_, {});
+    partial_.reset();
     expect(options_.silence, "the watch is silent");
     line(whole);
     if (stream_.get() != before) return;  // it was ended or begun anew meanwhile
   }
   line_.append(bytes, from);
-  if (line_.size() > kMostLine) failed("a line of more than its bound");
+  if (line_.size() > kMostLine) return failed("a line of more than its bound");
+  // The version stays: what comes of this line once more says nothing new.
+  auto servers = partial_.more(line_);
+  if (!servers.empty()) owner_.news(ServerNews{version_, false, std::move(servers), {}});
 }
 
 void Discovery::line(const std::string& text) {
--- a/src/platform/discovery.h
+++ b/src/platform/discovery.h
@@ -21,8 +21,11 @@
  public:
   struct Options {
     Address address;
-    double call_timeout = 2.0;  // s from the call to its first line
-    double silence = 5.0;       // s without even an empty line, of which one comes each 2 s
+    // Discovery itself ends a call that has waited for 1 s, and writes a line, if an empty one, each 2 s. What it has
+    // to tell counts as told 6 s later, whether it came or not: a silence, the module's pause, a call and another
+    // after it must fit in.
+    double call_timeout = 1.2;  // s from the call to its first line
+    double silence = 2.7;       // s without a line
   };
 
   Discovery(Loop& loop, Options options, DiscoveryOwner& owner);
@@ -57,6 +60,7 @@
   std::unique_ptr<Stream> old_;  // emptied with the next watch; it may be in the middle of a call
   http::Reader reader_;
   std::string line_;      // part of one, up to kMostLine
+  PartialNews partial_;   // of it
   bool answered_ = false; // the present call
   Loop::Timer timer_ = 0;
 };
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -80,4 +80,28 @@
   return read_news(json);
 }
 
+std::vector<Server> PartialNews::more(const std::string& line) {
+  std::vector<Server> servers;
+  for (; looked_ < line.size(); ++looked_) {
+    const char c = line[looked_];
+    if (text_) {
+      text_ = c != '"' || escaped_;
+      escaped_ = c == '\\' && !escaped_;
+    } else if (c == '"') {
+      text_ = true;
+    } else if (c == '{') {
+      if (++depth_ == 2) entry_ = looked_;  // the news itself is the first
+    } else if (c == '}' && depth_-- == 2) {
+      const auto json = nlohmann::json::parse(line.substr(entry_, looked_ + 1 - entry_), nullptr, false);
+      if (json.is_discarded()) continue;
+      try {
+        servers.push_back(read_server(json));
+      } catch (const std::exception&) {
+        // Said once the line is whole.
+      }
+    }
+  }
+  return servers;
+}
+
 }  // namespace heronworks::platform
--- a/src/platform/servers.h
+++ b/src/platform/servers.h
@@ -33,4 +33,20 @@
 ServerNews read_news(const nlohmann::json& json);
 ServerNews read_news(const std::string& text);
 
+// The entries of news whose line has not ended yet, as they come. Danger: lines break off or stop short, and what
+// was written of them counts as told. An entry that is there as a whole is true whatever follows it.
+class PartialNews {
+ public:
+  // `line`: all of the line so far, each time.
+  std::vector<Server> more(const std::string& line);
+  void reset() { *this = {}; }
+
+ private:
+  std::size_t looked_ = 0;
+  std::size_t entry_ = 0;  // where the present one began
+  int depth_ = 0;          // of objects
+  bool text_ = false;      // inside a string
+  bool escaped_ = false;
+};
+
 }  // namespace heronworks::platform
--- a/tests/platform/scheduler_test.cpp
+++ b/tests/platform/scheduler_test.cpp
@@ -404,7 +404,14 @@
   PlatformRig rig;
   SUBCASE("silent") {
     rig.start();
+    // What changes meanwhile counts as told after 6 s: by then it must have been asked for, and be heard.
+    const double began = rig.clock.now();
+    rig.discovery.first = rig.news(8, false, {rig.entry("s-0", rig.node0.server.address, 0, "Terminating")});
     CHECK(rig.until([&] { return rig.discovery.asked.size() == 2; }, 9));
+    rig.run(0.05);
+    CHECK(rig.clock.now() < began + 4.0);
+    CHECK(rig.ask(rig.request("a")) == 503);
+    CHECK(rig.node0.came.empty());
   }
   SUBCASE("ends") {
     rig.start();
@@ -422,6 +429,23 @@
     CHECK(rig.until([&] { return rig.discovery.asked.size() == 2; }, 3));
     CHECK(rig.discovery.asked.back() == "GET /v1/servers?follow=1");
   }
+  SUBCASE("a line that stops short: the entries that are whole count, the version does not") {
+    rig.start();
+    const std::string whole = rig.news(8, false, {rig.entry("s-0", rig.node0.server.address, 0, "Terminating"),
+                                                  rig.entry("s-1", rig.node1.server.address, 1, "Terminating")});
+    auto& peer = *rig.discovery.server.peers.back();
+    const std::string part = whole.substr(0, whole.size() - 20);
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", part.size());
+    peer.send(size + part + "\r\n");
+    rig.run(0.05);
+    CHECK(rig.ask(rig.request("a", "", 0)) == 503);
+    CHECK(rig.node0.came.empty());
+    CHECK(rig.ask(rig.request("b", "", 1)) == 200);
+    peer.stream.close();
+    CHECK(rig.until([&] { return rig.discovery.asked.size() == 2; }, 3));
+    CHECK(rig.discovery.asked.back() == "GET /v1/servers?follow=1&since=7");
+  }
   SUBCASE("empty lines are enough") {
     rig.start();
     for (int i = 0; i < 6; ++i) {
