--- a/src/control.cpp
+++ b/src/control.cpp
@@ -204,8 +204,8 @@
   Volume& v = volume_of(now, o.t);
   if (tells && (honoured || r.outcome == Outcome::kTimedOut)) {
     // A reply that was not waited for would have come later. Danger: one very heavy transaction, or a pause,
-    // looks like a long queue; so what one reply may say is capped, and good news counts more. The same for one
-    // that got lost among good ones, as on a connection that fell silent; a node that hangs answers none.
+    // looks like a long queue; so what one reply may say is capped, and good news counts more. The same for
+    // one that got lost among good ones, as on a connection that fell silent; a node that hangs answers none.
     const double most = kMostJump * std::max(node.latency, kAimPart * tightest_);
     const double word = honoured ? r.elapsed : std::max(kMostJump * r.elapsed, node.latency);
     const double seen = honoured || !node.bad_before ? std::min(word, most) : word;
@@ -273,8 +273,8 @@
   Open& o = open_[at(id)];
   if (!o.over) {
     // Danger: clients that leave long before their cut-off and come again at once; the work sent for them is
-    // lost. What many of them waited bounds the contract time of their volume, nobody else's; each honoured one
-    // widens the bound, so that the few whose connections break anyway do not make it.
+    // lost. What many of them waited bounds the contract time of their volume, nobody else's; each honoured
+    // one widens the bound, so that the few whose connections break anyway do not make it.
     double& patience = volume_of(now, o.t).patience[at(o.t.profile)];
     patience = std::min(patience, settings_.profiles[at(o.t.profile)].contract);
     patience += kLatencyGain * (now - o.landed_at - patience);
--- a/src/http/reader.cpp
+++ b/src/http/reader.cpp
@@ -192,7 +192,8 @@
   if (used != head.size()) return fail(Fault::kMalformed, "a head that ends early");
   message_ = std::exchange(parser_->message, {});  // trailers stay behind
   message_.keep_alive = parser_->keep_alive();
-  if (message_.fields.size() > bounds_.fields) return fail(Fault::kHeadTooLarge, "more fields than their bound");
+  if (message_.fields.size() > bounds_.fields)
+    return fail(Fault::kHeadTooLarge, "more fields than their bound");
   const auto lengths = message_.count("Content-Length");
   const auto codings = message_.count("Transfer-Encoding");
   const int version = parser_->version();
@@ -222,7 +223,8 @@
         used += 2;
         continue;
       }
-      if (rest.empty() || (kind_ == Kind::kRequest && scanned_ == 0 && rest.size() == 1 && rest[0] == kCr)) return used;
+      if (rest.empty() || (kind_ == Kind::kRequest && scanned_ == 0 && rest.size() == 1 && rest[0] == kCr))
+        return used;
       started_ = true;
       if (!scan(rest)) return used;
       open_head(rest.first(scanned_));
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -1,9 +1,9 @@
 // Reads messages of HTTP/1.1 (RFC 9112) from bytes as they come, within bounds, by Boost.Beast's parsers.
 //
-// Stricter than the standard's leave, since two readers of one message must not differ on where it ends: a bare
-// CR or LF, a folded field (5.2), control characters, Content-Length beside Transfer-Encoding (6.1), more than
-// one of either, a coding other than `chunked`, and an answer that only the connection's end would end (6.3) are
-// faults. 1xx answers (RFC 9110, 15.2) are passed over, but for 101.
+// Stricter than the standard's leave, since two readers of one message must not differ on where it ends: a
+// bare CR or LF, a folded field (5.2), control characters, Content-Length beside Transfer-Encoding (6.1),
+// more than one of either, a coding other than `chunked`, and an answer that only the connection's end would
+// end (6.3) are faults. 1xx answers (RFC 9110, 15.2) are passed over, but for 101.
 #pragma once
 
 #include <cstdint>
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -49,7 +49,8 @@
   if (++births_ == 0) ++births_;  // 0 is the signals'
   slots_[fd] = {&owner, births_, EPOLLIN};
   epoll_event event{EPOLLIN, {.u64 = key(fd, births_)}};
-  if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) != 0) throw std::runtime_error("epoll takes no more");
+  if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) != 0)
+    throw std::runtime_error("epoll takes no more");
 }
 
 void Loop::interest(int fd, bool read, bool write) {
@@ -69,7 +70,8 @@
 // Up to the nanosecond where the kernel can (5.11), else up to the millisecond.
 int Loop::wait(double most, std::span<epoll_event> events) {
   const timespec left{static_cast<time_t>(most), static_cast<long>((most - std::floor(most)) * 1e9)};
-  const int ready = ::epoll_pwait2(epoll_.get(), events.data(), static_cast<int>(events.size()), &left, nullptr);
+  const int ready =
+      ::epoll_pwait2(epoll_.get(), events.data(), static_cast<int>(events.size()), &left, nullptr);
   if (ready >= 0 || errno != ENOSYS) return ready;
   return ::epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()),
                       static_cast<int>(std::ceil(most * 1e3)));
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -35,9 +35,10 @@
   // When this turn found what there is to do: one time for all that came together.
   double turn_time() const { return turn_time_; }
   // The earliest time at which what is read in this turn can have come: this turn, unless the loop had not
-  // looked for longer than a stall; then its last look. For a little while after a stall the same, since what a
-  // full receive buffer kept back in the sender's comes only now. The kernel's marks do not tell, as it joins
-  // what came in a row under the newest mark. Sure only while some timer wakes the loop more often than kStall.
+  // looked for longer than a stall; then its last look. For a little while after a stall the same, since what
+  // a full receive buffer kept back in the sender's comes only now. The kernel's marks do not tell, as it
+  // joins what came in a row under the newest mark. Sure only while some timer wakes the loop more often than
+  // kStall.
   double earliest_arrival() const { return turn_time_ <= stall_seen_ + kSettle ? stall_from_ : turn_time_; }
   static constexpr double kStall = 0.05;   // s; longer than a turn ever takes
   static constexpr double kSettle = 0.05;  // s in which a sender's buffers empty once they can
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -118,7 +118,8 @@
 
 bool Stream::quiet() const {
   std::uint8_t byte = 0;
-  return fd_ && ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return fd_ && ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 long Stream::read_some(std::uint8_t* into, std::size_t room) {
@@ -137,7 +138,8 @@
     if (c->cmsg_level != SOL_SOCKET || c->cmsg_type != SCM_TIMESTAMPNS) continue;
     timespec t{};
     std::memcpy(&t, CMSG_DATA(c), sizeof t);
-    const double marked = static_cast<double>(t.tv_sec) + 1e-9 * static_cast<double>(t.tv_nsec) - wall_offset();
+    const double marked =
+        static_cast<double>(t.tv_sec) + 1e-9 * static_cast<double>(t.tv_nsec) - wall_offset();
     if (marked < arrived_at_) arrived_at_ = marked;
   }
   return n;
--- a/src/loop/stream.h
+++ b/src/loop/stream.h
@@ -71,7 +71,8 @@
   // When the newest bytes read arrived at this machine, by the kernel's own mark, in seconds of
   // CLOCK_MONOTONIC; the time of reading where the kernel gives none. Needs mark_arrivals().
   double arrived_at() const { return arrived_at_; }
-  // Whether the newest read found the end of what had come; false while a pause or a bound leaves some unread.
+  // Whether the newest read found the end of what had come; false while a pause or a bound leaves some
+  // unread.
   bool drained() const { return drained_; }
   void mark_arrivals();
 
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -17,7 +17,8 @@
 
 std::string shown(const nlohmann::json& j) { return j.is_string() ? j.get<std::string>() : j.dump(); }
 
-void flatten(const nlohmann::json& j, const std::string& at, std::map<std::string, std::string, std::less<>>& into) {
+void flatten(const nlohmann::json& j, const std::string& at,
+             std::map<std::string, std::string, std::less<>>& into) {
   const std::string under = at.empty() ? "" : at + ".";
   if (j.is_object()) {
     for (const auto& [name, value] : j.items()) flatten(value, under + name, into);
@@ -56,7 +57,9 @@
 }
 
 Config read_config(const std::string& path, const Variables& variables) {
-  const auto bad = [&](const std::string& field) { return ConfigFault(path + ": bad field '" + field + "'"); };
+  const auto bad = [&](const std::string& field) {
+    return ConfigFault(path + ": bad field '" + field + "'");
+  };
   std::ifstream file(path, std::ios::binary);
   if (!file) throw ConfigFault(path + ": cannot be read");
   std::string text;
@@ -99,7 +102,8 @@
   c.ask_within = kMicro * fields.number("rules.ask-every", 0.0);
 
   const auto seed = told("seed", "LB_SEED");
-  const auto [stop, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.named.settings.seed, 16);
+  const auto [stop, error] =
+      std::from_chars(seed.data(), seed.data() + seed.size(), c.named.settings.seed, 16);
   if (error != std::errc() || stop != seed.data() + seed.size()) throw bad("seed");
 
   double descriptors = 0;
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -63,7 +63,8 @@
   const std::size_t unread = std::exchange(line_, {}).size();
   partial_.reset();
   stop();
-  owner_.discovery_failed(unread == 0 ? reason : reason + ", after " + std::to_string(unread) + " bytes of a line");
+  owner_.discovery_failed(unread == 0 ? reason
+                                      : reason + ", after " + std::to_string(unread) + " bytes of a line");
 }
 
 std::size_t Discovery::received(std::span<const std::uint8_t> bytes) {
--- a/src/platform/discovery.h
+++ b/src/platform/discovery.h
@@ -21,9 +21,9 @@
  public:
   struct Options {
     Address address;
-    // Discovery itself ends a call that has waited for 1 s, and writes a line, if an empty one, each 2 s. What it has
-    // to tell counts as told 6 s later, whether it came or not: a silence, the module's pause, a call and another
-    // after it must fit in.
+    // Discovery itself ends a call that has waited for 1 s, and writes a line, if an empty one, each 2 s.
+    // What it has to tell counts as told 6 s later, whether it came or not: a silence, the module's pause, a
+    // call and another after it must fit in.
     double call_timeout = 1.2;  // s from the call to its first line
     double silence = 2.7;       // s without a line
   };
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -38,7 +38,9 @@
       if (reader.started() && began == 0) began = front.loop_.now();
       if (reader.fault() != http::Fault::kNone) {
         using http::Fault;
-        front.refuse(*this, reader.fault() == Fault::kMalformed ? 400 : reader.fault() == Fault::kBodyTooLarge ? 413 : 431);
+        front.refuse(*this, reader.fault() == Fault::kMalformed      ? 400
+                            : reader.fault() == Fault::kBodyTooLarge ? 413
+                                                                     : 431);
         return bytes.size();
       }
       if (!reader.done()) {
@@ -99,7 +101,8 @@
 
 Front::Front(Loop& loop, Fd listener, Descriptors& descriptors, FrontOwner& owner)
     : loop_(loop), descriptors_(descriptors), owner_(owner) {
-  listener_ = std::make_unique<Listener>(loop_, std::move(listener), [this](Fd fd) { accepted(std::move(fd)); });
+  listener_ =
+      std::make_unique<Listener>(loop_, std::move(listener), [this](Fd fd) { accepted(std::move(fd)); });
   sweep_ = loop_.at(loop_.now() + kSweep, [this] { sweep(); });
 }
 
@@ -119,8 +122,8 @@
   clients_.emplace(id, std::make_unique<Client>(*this, id, std::move(fd)));
 }
 
-// Danger: clients hold all connections that there may be, and none of them asks. The one that has been without a
-// request for longest makes way; one in the middle of a request only if there is no other.
+// Danger: clients hold all connections that there may be, and none of them asks. The one that has been
+// without a request for longest makes way; one in the middle of a request only if there is no other.
 bool Front::make_room() {
   Client* best = nullptr;
   const auto rank = [](const Client& c) {
--- a/src/platform/node_pool.cpp
+++ b/src/platform/node_pool.cpp
@@ -169,7 +169,8 @@
   Link& link = *made;
   n.links.emplace(id, std::move(made));
   link.begin(std::move(dispatch));
-  link.connect_timer = loop_.at(loop_.now() + options_.connect_timeout, [&link] { link.end(Outcome::kNoConnection); });
+  link.connect_timer =
+      loop_.at(loop_.now() + options_.connect_timeout, [&link] { link.end(Outcome::kNoConnection); });
 }
 
 // A descriptor for one more connection, if need be that of the longest idle one of another node.
--- a/src/platform/scheduler.cpp
+++ b/src/platform/scheduler.cpp
@@ -12,11 +12,11 @@
 namespace {
 
 constexpr double kReportEvery = 1.0;  // s between two lines of counts in the log
-constexpr double kBeat = 0.02;        // s between two looks at the sockets, at most; the loop then knows a stall
-// The platform kills a scheduler that is to stop no sooner than its longest cut-off, counted as 3 s where it is
-// longer, and 0.7 s after SIGTERM. Its clients open connections for up to 0.4 s and keep to those they have for as
-// long as they are open: nobody else serves them. So it serves on, and what comes is given no more time than is
-// left of the stop.
+constexpr double kBeat = 0.02;  // s between two looks at the sockets, at most; the loop then knows a stall
+// The platform kills a scheduler that is to stop no sooner than its longest cut-off, counted as 3 s where it
+// is longer, and 0.7 s after SIGTERM. Its clients open connections for up to 0.4 s and keep to those they
+// have for as long as they are open: nobody else serves them. So it serves on, and what comes is given no
+// more time than is left of the stop.
 constexpr double kStopCutOff = 3.0;   // s
 constexpr double kStopSlack = 0.6;    // s after it, by which all is answered
 constexpr double kStopServe = 0.3;    // s after it, until which what comes is still served
@@ -59,7 +59,8 @@
       descriptors_(config_.descriptors),
       volumes_(volume_rest(config_.settings())) {
   Fd listener = listen_on(config_.listen, 1024);
-  if (!listener) throw std::runtime_error("cannot listen on " + config_.listen.text() + ": " + std::strerror(errno));
+  if (!listener)
+    throw std::runtime_error("cannot listen on " + config_.listen.text() + ": " + std::strerror(errno));
   NodePool::Options pool;
   if (config_.connect_timeout > 0) pool.connect_timeout = config_.connect_timeout;
   if (config_.idle_close > 0) pool.idle = config_.idle_close / 2;
@@ -145,7 +146,8 @@
     ++counts_.at_door;
     return front_->answer(client, {kTurnedBack, seconds(config_.settings().max_wait), ""});
   }
-  // The client's time has been running since it sent this, which may be long ago if this scheduler stood still.
+  // The client's time has been running since it sent this, which may be long ago if this scheduler stood
+  // still.
   w.t.time_left -= std::max(now() - at, 0.0);
   if (stop_at_ > 0) w.t.time_left = std::min(w.t.time_left, stop_at_ - now());
   w.t.volume = place->index;
@@ -323,13 +325,14 @@
   control_->list_news(now(), scope, entries);
   // The module has heard: nothing more goes there, and what has not begun yet is taken back.
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    if (!nodes_[i].id.empty() && nodes_[i].listed.listing != Listing::kReady) pool_->wind_up(static_cast<int>(i));
+    if (!nodes_[i].id.empty() && nodes_[i].listed.listing != Listing::kReady)
+      pool_->wind_up(static_cast<int>(i));
   }
   let_go_of_gone();
 }
 
-// Danger: machines are replaced all day under new ids, and each would keep its place. One that is gone for long
-// enough and has nothing out is let go of; another gets its number.
+// Danger: machines are replaced all day under new ids, and each would keep its place. One that is gone for
+// long enough and has nothing out is let go of; another gets its number.
 void Scheduler::let_go_of_gone() {
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     NodeEntry& n = nodes_[i];
--- a/src/platform/scheduler.h
+++ b/src/platform/scheduler.h
@@ -1,6 +1,6 @@
-// One running scheduler on the platform: what happens on HTTP becomes calls on Control, what it decides becomes
-// requests to nodes and answers to clients. Ids, profiles, plans and volumes become small indices and back.
-// Nothing is decided here.
+// One running scheduler on the platform: what happens on HTTP becomes calls on Control, what it decides
+// becomes requests to nodes and answers to clients. Ids, profiles, plans and volumes become small indices and
+// back. Nothing is decided here.
 #pragma once
 
 #include <map>
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -10,7 +10,9 @@
 constexpr double kMilli = 1e-3;
 constexpr std::int64_t kMostShards = 1'000'000;  // tables go by shard
 
-[[noreturn]] void bad(const char* field) { throw std::runtime_error(std::string("bad field '") + field + "'"); }
+[[noreturn]] void bad(const char* field) {
+  throw std::runtime_error(std::string("bad field '") + field + "'");
+}
 
 Server read_server(const nlohmann::json& j) {
   if (!j.is_object()) bad("instances[]");
--- a/src/platform/servers.h
+++ b/src/platform/servers.h
@@ -33,8 +33,8 @@
 ServerNews read_news(const nlohmann::json& json);
 ServerNews read_news(const std::string& text);
 
-// The entries of news whose line has not ended yet, as they come. Danger: lines break off or stop short, and what
-// was written of them counts as told. An entry that is there as a whole is true whatever follows it.
+// The entries of news whose line has not ended yet, as they come. Danger: lines break off or stop short, and
+// what was written of them counts as told. An entry that is there as a whole is true whatever follows it.
 class PartialNews {
  public:
   // `line`: all of the line so far, each time.
--- a/src/platform/volumes.h
+++ b/src/platform/volumes.h
@@ -1,10 +1,11 @@
 // Small indices for volumes, and who may be let go: decisions only.
 //
-// How to call it: `index` as a transaction lands, `ended` once it is forgotten. Danger: volumes come and go for
-// years, and a client may name a new one with each request; each would keep its place in the module's table. So
-// there are at most kMost, and the one unused for longest gives its index away once nothing of it is open and it
-// has been unused for `rest`: by then its store of the limit is full again, as a new volume's is, so nothing is
-// forgotten that a rule asks for. May hurt new volumes for that long while all are in use: they are turned back.
+// How to call it: `index` as a transaction lands, `ended` once it is forgotten. Danger: volumes come and go
+// for years, and a client may name a new one with each request; each would keep its place in the module's
+// table. So there are at most kMost, and the one unused for longest gives its index away once nothing of it
+// is open and it has been unused for `rest`: by then its store of the limit is full again, as a new volume's
+// is, so nothing is forgotten that a rule asks for. May hurt new volumes for that long while all are in use:
+// they are turned back.
 #pragma once
 
 #include <cstddef>
--- a/src/platform/wanted.cpp
+++ b/src/platform/wanted.cpp
@@ -19,7 +19,9 @@
   return r.ec == std::errc() && r.ptr == end && !text.empty();
 }
 
-bool read_hex16(std::string_view text, std::uint64_t& into) { return text.size() == 16 && read(text, into, 16); }
+bool read_hex16(std::string_view text, std::uint64_t& into) {
+  return text.size() == 16 && read(text, into, 16);
+}
 
 bool one_of(const std::vector<std::string>& names, std::string_view name, int& index) {
   for (std::size_t i = 0; i < names.size(); ++i) {
@@ -68,7 +70,8 @@
   if (!writes && m.method != "GET") return Refused{400, "method"};
   if (!writes && !m.body.empty()) return Refused{400, "body of a read"};
   const std::string* profile = once("X-Call-Class");
-  if (profile == nullptr || !one_of(c.named.profiles, *profile, w.t.profile)) return Refused{400, "X-Call-Class"};
+  if (profile == nullptr || !one_of(c.named.profiles, *profile, w.t.profile))
+    return Refused{400, "X-Call-Class"};
   const std::string* plan = once("Tier");
   if (plan == nullptr || !one_of(c.named.plans, *plan, w.t.plan)) return Refused{400, "Tier"};
 
@@ -80,7 +83,8 @@
   const auto volume_at = path.rfind('/', piece_at - 1);
   if (volume_at == std::string_view::npos) return Refused{400, "path"};
   if (!read_hex16(path.substr(piece_at + 1), w.t.key)) return Refused{400, "piece of data"};
-  if (!read_hex16(path.substr(volume_at + 1, piece_at - volume_at - 1), w.volume)) return Refused{400, "volume"};
+  if (!read_hex16(path.substr(volume_at + 1, piece_at - volume_at - 1), w.volume))
+    return Refused{400, "volume"};
   w.t.has_key = true;
 
   const std::string* budget = once("X-Budget-Ms");
@@ -95,7 +99,8 @@
   const Profile& p = c.settings().profiles[static_cast<std::size_t>(w.t.profile)];
   const std::string* label = m.find("Idempotency-Key");
   if (m.count("Idempotency-Key") > 1) return Refused{400, "Idempotency-Key"};
-  if (p.repeat == Repeat::kLabelled && (label == nullptr || label->empty())) return Refused{400, "Idempotency-Key"};
+  if (p.repeat == Repeat::kLabelled && (label == nullptr || label->empty()))
+    return Refused{400, "Idempotency-Key"};
   return w;
 }
 
--- a/tests/http/reader_test.cpp
+++ b/tests/http/reader_test.cpp
@@ -90,10 +90,13 @@
 TEST_CASE("http: bounds on head, body, fields and a chunk's head") {
   const Bounds small{64, 10, 3};
   CHECK(whole(Kind::kRequest, "GET /" + std::string(80, 'a'), small).fault == Fault::kHeadTooLarge);
-  CHECK(whole(Kind::kRequest, "GET / HTTP/1.1\r\nA:1\r\nB:1\r\nC:1\r\nD:1\r\n\r\n", small).fault == Fault::kHeadTooLarge);
-  CHECK(whole(Kind::kRequest, "PUT / HTTP/1.1\r\nContent-Length: 11\r\n\r\n", small).fault == Fault::kBodyTooLarge);
+  CHECK(whole(Kind::kRequest, "GET / HTTP/1.1\r\nA:1\r\nB:1\r\nC:1\r\nD:1\r\n\r\n", small).fault ==
+        Fault::kHeadTooLarge);
+  CHECK(whole(Kind::kRequest, "PUT / HTTP/1.1\r\nContent-Length: 11\r\n\r\n", small).fault ==
+        Fault::kBodyTooLarge);
   const std::string chunked = "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
-  CHECK(whole(Kind::kRequest, chunked + "8\r\nabcdefgh\r\n8\r\nabcdefgh\r\n", small).fault == Fault::kBodyTooLarge);
+  CHECK(whole(Kind::kRequest, chunked + "8\r\nabcdefgh\r\n8\r\nabcdefgh\r\n", small).fault ==
+        Fault::kBodyTooLarge);
   CHECK(whole(Kind::kRequest, chunked + "1;" + std::string(200, 'x'), small).fault != Fault::kNone);
 }
 
--- a/tests/platform/config_test.cpp
+++ b/tests/platform/config_test.cpp
@@ -1,4 +1,5 @@
-// The platform's configuration: the same settings from JSON and from the drill's line; faults name their field.
+// The platform's configuration: the same settings from JSON and from the drill's line; faults name their
+// field.
 #include <doctest/doctest.h>
 #include <unistd.h>
 
@@ -40,7 +41,8 @@
 constexpr const char* kLine =
     "PROVISION\tallowed.attempts-cap=3\tallowed.idle-close=30000000\tallowed.max-retry-after=1000000\t"
     "allowed.retry-after=true\tbalancers=3\tdiscovery=on_request\tfamily-info.cold-units=5.5\t"
-    "family-info.largest=8\tfamily-info.mean-units=2.25\tfamily-info.n-shards=8\tfamily-info.share-worth=0.35\t"
+    "family-info.largest=8\tfamily-info.mean-units=2.25\tfamily-info.n-shards=8\tfamily-info.share-worth=0."
+    "35\t"
     "family-info.spare-worth=0.05\tindex=2\tpolicies.count=2\tpolicies.0.ceiling-rate=21.5\t"
     "policies.0.floor-rate=2.1\tpolicies.0.limit-burst=30.0\tpolicies.0.name=base\tpolicies.0.nominal=4.2\t"
     "policies.0.shares=1.0\tpolicies.0.worth-factor=0.72\tpolicies.1.name=plus\tpolicies.1.nominal=8.4\t"
@@ -48,7 +50,8 @@
     "request-classes.0.effect=safe\trequest-classes.0.gain=3.0\trequest-classes.0.give-up=2500000\t"
     "request-classes.0.group=all\trequest-classes.0.name=grid-read\trequest-classes.1.aim=500000\t"
     "request-classes.1.effect=keyed\trequest-classes.1.give-up=4000000\trequest-classes.1.group=zone\t"
-    "request-classes.1.name=entry-write\trequest-classes.1.sequential=true\tresolution=2000\trules.cold=18000000\t"
+    "request-classes.1.name=entry-write\trequest-classes.1.sequential=true\tresolution=2000\trules.cold="
+    "18000000\t"
     "rules.cold-share=0.16\trules.fall=1500000\trules.tip-multiple=2.0\trules.extra-window=5000000\t"
     "rules.extra-per-request=0.15\trules.free-resends=3\trules.turn-gap=40000";
 
@@ -113,7 +116,8 @@
   CHECK(with("/limits", {{"sockets", -4}}) == bad + "limits.sockets'");
   CHECK(with("/known", {{"reset", true}}) == bad + "known: bad field 'generation''");
   CHECK_THROWS_AS(file.read(std::string("{")), platform::ConfigFault);
-  CHECK_THROWS_AS(platform::read_config([](const char*) -> const char* { return nullptr; }), platform::ConfigFault);
+  CHECK_THROWS_AS(platform::read_config([](const char*) -> const char* { return nullptr; }),
+                  platform::ConfigFault);
 }
 
 TEST_CASE("volumes: an index is given away once it rests, and never while something is open") {
--- a/tests/platform/rig.h
+++ b/tests/platform/rig.h
@@ -143,8 +143,9 @@
   }
   static std::string entry(const std::string& id, const Address& at, int shard, const char* state = "Ready",
                            double started = 0) {
-    return nlohmann::json{{"instanceId", id}, {"hostPort", at.text()}, {"zone", "a"},     {"machineType", "m"},
-                          {"cell", shard},    {"lifecycle", state},    {"weight", 1.0}, {"startedAtMs", started}}
+    return nlohmann::json{{"instanceId", id},   {"hostPort", at.text()}, {"zone", "a"},
+                          {"machineType", "m"}, {"cell", shard},         {"lifecycle", state},
+                          {"weight", 1.0},      {"startedAtMs", started}}
         .dump();
   }
   static std::string news(int version, bool whole, const std::vector<std::string>& entries) {
@@ -179,7 +180,9 @@
   }
   // The status of the first answer on the connection, 0 for none.
   static int status(const Peer& p) { return p.in.size() < 12 ? 0 : std::atoi(p.in.c_str() + 9); }
-  static std::string body(const Peer& p) { return p.in.substr(std::min(p.in.size(), p.in.find("\r\n\r\n") + 4)); }
+  static std::string body(const Peer& p) {
+    return p.in.substr(std::min(p.in.size(), p.in.find("\r\n\r\n") + 4));
+  }
 
   void turn() {
     loop.turn(0.0002);
--- a/tests/platform/scheduler_test.cpp
+++ b/tests/platform/scheduler_test.cpp
@@ -17,7 +17,8 @@
 
 TEST_CASE("platform: a read goes to its shard's node as it came, and its whole answer to the client") {
   PlatformRig rig;
-  rig.node1.reply = test::answer_text(200, std::string("a\0b", 3), "Volume-Load: 0\r\nX-Load-Report: TEXT queue=?\r\n");
+  rig.node1.reply =
+      test::answer_text(200, std::string("a\0b", 3), "Volume-Load: 0\r\nX-Load-Report: TEXT queue=?\r\n");
   rig.start();
   auto& c = rig.client();
   c.send(rig.request("9b1f03aa5c7e2d41", "X-Other: 1\r\nConnection: keep-alive\r\n", 1));
@@ -35,14 +36,17 @@
   CHECK(rig.scheduler->open() == 0);
 }
 
-TEST_CASE("platform: a write passes on body and label, and a second one takes the same connection to its node") {
+TEST_CASE(
+    "platform: a write passes on body and label, and a second one takes the same connection to its node") {
   PlatformRig rig;
   rig.start();
   auto& c = rig.client();
   for (int i = 0; i < 2; ++i) {
     c.in.clear();
-    c.send("PUT /a/b/00000003b4d60021/7f3a9c21e0b4d655?x=1 HTTP/1.1\r\nHost: app\r\nX-Call-Id: w" + std::to_string(i) +
-           "\r\nX-Call-Class: write\r\nTier: gold\r\nX-Budget-Ms: 900.5\r\nIO-Info: hosts=1, shard=0, units=1\r\n"
+    c.send("PUT /a/b/00000003b4d60021/7f3a9c21e0b4d655?x=1 HTTP/1.1\r\nHost: app\r\nX-Call-Id: w" +
+           std::to_string(i) +
+           "\r\nX-Call-Class: write\r\nTier: gold\r\nX-Budget-Ms: 900.5\r\nIO-Info: hosts=1, shard=0, "
+           "units=1\r\n"
            "Idempotency-Key: k1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
     REQUIRE(rig.until([&] { return rig.status(c) == 200; }));
   }
@@ -84,7 +88,9 @@
   }
 }
 
-TEST_CASE("platform: a refused connection never ran, a break behind the last byte may have, silence is closed first") {
+TEST_CASE(
+    "platform: a refused connection never ran, a break behind the last byte may have, silence is closed "
+    "first") {
   SUBCASE("refused") {
     PlatformRig rig;
     rig.node0.server.down();
@@ -161,7 +167,8 @@
   }
 }
 
-TEST_CASE("platform: a good answer that brings more than is its own counts, its connection is not used again") {
+TEST_CASE(
+    "platform: a good answer that brings more than is its own counts, its connection is not used again") {
   for (const char* more : {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", "noise", "\r\n"}) {
     CAPTURE(more);
     PlatformRig rig;
@@ -190,7 +197,8 @@
     return text.replace(at, from.size(), to);
   };
   const std::string good = PlatformRig::request("a");
-  const std::string put = without(without(without(good, "GET", "PUT"), "read", "write"), "Tier", "Idempotency-Key: k\r\nTier");
+  const std::string put =
+      without(without(without(good, "GET", "PUT"), "read", "write"), "Tier", "Idempotency-Key: k\r\nTier");
   struct Row {
     std::string text;
     int status;
@@ -210,7 +218,8 @@
       {without(put, "Host", "Content-Length: abc\r\nHost"), 400},
       {without(put, "Host", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\nHost") + "0\r\n\r\n", 400},
       {without(put, "Host", "Transfer-Encoding: gzip, chunked\r\nHost") + "0\r\n\r\n", 400},
-      {without(put, "Host", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\nHost") + "0\r\n\r\n", 400},
+      {without(put, "Host", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\nHost") + "0\r\n\r\n",
+       400},
       {without(put, "Host", "Transfer-Encoding: chunked\r\nHost") + "-1\r\n\r\n", 400},
       {without(put, "Host", "Content-Length: 60000000\r\nHost"), 413},
       {without(good, "Host", "X: " + std::string(9000, 'a') + "\r\nHost"), 431},
@@ -260,7 +269,8 @@
   CHECK(rig.body(c) == "mine");
 }
 
-TEST_CASE("platform: silence, heads that never end and half requests are closed by time, however they trickle") {
+TEST_CASE(
+    "platform: silence, heads that never end and half requests are closed by time, however they trickle") {
   PlatformRig rig;
   rig.start();
   auto& silent = rig.client();
@@ -293,7 +303,8 @@
   CHECK(rig.status(c) == 413);
 }
 
-TEST_CASE("platform: a client that closes is abandoned, also behind pipelined bytes; its answer goes nowhere") {
+TEST_CASE(
+    "platform: a client that closes is abandoned, also behind pipelined bytes; its answer goes nowhere") {
   for (const bool pipelined : {false, true}) {
     CAPTURE(pipelined);
     PlatformRig rig;
@@ -334,7 +345,8 @@
   Fd full = listen_on({"127.0.0.1", 0}, 0);
   std::vector<Fd> fillers;
   for (int i = 0; i < 4; ++i) fillers.push_back(connect_to(local_address(full.get())));
-  rig.json["known"] = nlohmann::json::parse(rig.news(7, true, {rig.entry("s-0", local_address(full.get()), 0)}));
+  rig.json["known"] =
+      nlohmann::json::parse(rig.news(7, true, {rig.entry("s-0", local_address(full.get()), 0)}));
   rig.start();
   auto& c = rig.client();
   c.send(rig.request("a"));
@@ -431,8 +443,9 @@
   }
   SUBCASE("a line that stops short: the entries that are whole count, the version does not") {
     rig.start();
-    const std::string whole = rig.news(8, false, {rig.entry("s-0", rig.node0.server.address, 0, "Terminating"),
-                                                  rig.entry("s-1", rig.node1.server.address, 1, "Terminating")});
+    const std::string whole = rig.news(8, false,
+                                       {rig.entry("s-0", rig.node0.server.address, 0, "Terminating"),
+                                        rig.entry("s-1", rig.node1.server.address, 1, "Terminating")});
     auto& peer = *rig.discovery.server.peers.back();
     const std::string part = whole.substr(0, whole.size() - 20);
     char size[16];
