What every front needs stands once, in src/host/: node numbers, slots, beat, the end of a run

Need: the platform's scheduler had written again what the gateway has (numbers of nodes and when they are given away, slots of transactions, the beat that knows a stall, signals to drain), against the architecture. An entry of a zone beyond 256 is left out and said, as the table of zones had no bound. A volume whose index was another's (Transaction::fresh) had no test of the module; it has one, which fails without the reset.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -58,14 +58,7 @@
   Log log(c->log_file, c->log_level, c->log_lines);
   gateway::Scheduler scheduler(loop, *c, log);
   log.info(loop.now(), "started", {{"address", scheduler.address().text()}, {"index", c->settings.index}});
-  bool draining = false;
-  const auto stop = [&] {
-    if (std::exchange(draining, true)) return;
-    scheduler.drain([&] { loop.stop(); });
-  };
-  loop.on_signal(SIGTERM, stop);
-  loop.on_signal(SIGINT, stop);
-  loop.run();
+  run_until_told(loop, [&](auto done) { scheduler.drain(std::move(done)); });
   log.info(loop.now(), "stopped");
   return 0;
 }
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr double kReportEvery = 1.0;  // s between two lines of counts in the log
-constexpr double kBeat = 0.02;        // s between two looks at the sockets, at most
 constexpr double kWaitingLook = 0.01; // s between two looks at answers that wait: later ones may have to go earlier
 constexpr std::uint64_t kOwnLabel = std::uint64_t{1} << 63;  // set in labels that a scheduler gives itself
 
@@ -75,22 +74,12 @@
   }
   target_ = std::make_unique<nvme::Target>(loop, std::move(listener), target_options(config), *this);
   report_ = loop_.at(loop_.now() + kReportEvery, [this] { report(); });
-  beat();
-}
-
-// The loop looks at its sockets at least this often, so that it knows when it stood still.
-void Scheduler::beat() {
-  if (const double still = loop_.now() - beat_due_; beat_due_ > 0 && still > Loop::kStall) {
-    log_.warn(loop_.now(), "stood_still", {{"seconds", still}});
-  }
-  beat_due_ = loop_.now() + kBeat;
-  beat_ = loop_.at(loop_.now() + kBeat, [this] { beat(); });
+  beat_ = std::make_unique<Beat>(loop_, log_);
 }
 
 Scheduler::~Scheduler() {
   loop_.cancel(wake_);
   loop_.cancel(report_);
-  loop_.cancel(beat_);
   loop_.cancel(waiting_timer_);
   loop_.cancel(draining_);
 }
@@ -215,16 +204,8 @@
   const double whole = told > 0 ? told : config_.settings.profiles[static_cast<std::size_t>(t.profile)].cut_off;
   t.time_left = whole - std::max(now() - c.at, 0.0) - config_.way_back;
 
-  int id = 0;
-  if (free_.empty()) {
-    id = static_cast<int>(slots_.size());
-    slots_.emplace_back();
-  } else {
-    id = free_.back();
-    free_.pop_back();
-  }
-  Slot& s = slots_[static_cast<std::size_t>(id)];
-  s = Slot{};
+  const int id = slots_.take();
+  Slot& s = slots_[id];
   s.used = true;
   s.connection = c.connection;
   s.sqe = c.sqe;
@@ -258,7 +239,7 @@
   const std::set<int> open = std::move(found->second);
   by_client_.erase(found);
   for (const int id : open) {
-    Slot& s = slots_[static_cast<std::size_t>(id)];
+    Slot& s = slots_[id];
     if (!s.used || s.answered) continue;
     s.answered = true;
     ++counts_.abandoned;
@@ -276,7 +257,7 @@
   s.answered = true;
   const auto found = by_client_.find(s.connection);
   if (found != by_client_.end()) {
-    found->second.erase(static_cast<int>(&s - slots_.data()));
+    found->second.erase(slots_.index_of(s));
     if (found->second.empty()) by_client_.erase(found);
   }
 }
@@ -284,7 +265,7 @@
 // ---- From the module ----
 
 void Scheduler::dispatch(int transaction, int node, double try_for) {
-  Slot& s = slots_[static_cast<std::size_t>(transaction)];
+  Slot& s = slots_[transaction];
   NodeEntry& n = nodes_[static_cast<std::size_t>(node)];
   ++counts_.dispatched;
   Dispatch d;
@@ -296,7 +277,7 @@
   d.sqe = s.sqe;
   d.sqe.set_origin(s.sqe.client_try(), d.number, config_.settings.index);
   if (s.shard < 0) {  // a new object: the first zone of the node's shard; the node finds room from there on
-    d.sqe.set_slba(static_cast<std::uint64_t>(n.listed.shard) * config_.zone_blocks);
+    d.sqe.set_slba(static_cast<std::uint64_t>(numbers_.entry(node).shard) * config_.zone_blocks);
   }
   d.out = s.data;
   d.in = s.data ? 0 : s.sqe.blocks() * config_.block_bytes;
@@ -310,20 +291,18 @@
     const double unit = std::max(1.0, std::ceil(config_.settings.max_wait / 16 * 10)) / 10;
     status.crd = wait <= unit ? 1 : wait <= 4 * unit ? 2 : 3;
   }
-  answer(slots_[static_cast<std::size_t>(transaction)], status);
+  answer(slots_[transaction], status);
 }
 
 void Scheduler::give_up(int transaction) {
   ++counts_.given_up;
-  answer(slots_[static_cast<std::size_t>(transaction)], nvme::status::kInternalPath);
+  answer(slots_[transaction], nvme::status::kInternalPath);
 }
 
 void Scheduler::forget(int transaction) {
-  Slot& s = slots_[static_cast<std::size_t>(transaction)];
+  Slot& s = slots_[transaction];
   door_.left(s.tenant, s.data ? static_cast<double>(s.data->size()) : 0);
-  s.data.reset();
-  s.used = false;
-  free_.push_back(transaction);
+  slots_.give(transaction);
 }
 
 void Scheduler::watch_list() { list_->watch(); }
@@ -336,7 +315,7 @@
 // ---- From nodes and the list ----
 
 void Scheduler::ended(int node, const Dispatch& d, Outcome outcome, nvme::Completion&& completion) {
-  Slot& s = slots_[static_cast<std::size_t>(d.transaction)];
+  Slot& s = slots_[d.transaction];
   Reply r;
   r.dispatch = d.number;
   r.node = node;
@@ -429,14 +408,11 @@
 // Addresses become small numbers; links to what drains, is gone or is another process by now are wound up.
 std::vector<Entry> Scheduler::take_list(const std::vector<ListedNode>& nodes) {
   std::vector<Entry> entries;
-  std::set<int> named;
   for (const ListedNode& l : nodes) {
-    const int next = free_numbers_.empty() ? static_cast<int>(nodes_.size()) : free_numbers_.back();
-    const auto [at, fresh] = node_numbers_.emplace(l.address.text(), next);
-    const int number = at->second;
-    if (fresh) {
-      if (free_numbers_.empty()) nodes_.emplace_back();
-      else free_numbers_.pop_back();
+    Entry e = numbers_.begin(l.address.text());
+    if (nodes_.size() < static_cast<std::size_t>(numbers_.most())) nodes_.emplace_back();
+    NodeEntry& n = nodes_[static_cast<std::size_t>(e.node)];
+    if (e.fresh) {
       NodeLink::Options o;
       o.host.address = l.address;
       o.host.subsystem = config_.node_subsystem;
@@ -446,46 +422,32 @@
       o.host.connect_timeout = config_.connect_timeout;
       o.host.keep_alive = config_.keep_alive;
       o.idle_close = config_.idle_close;
-      nodes_[static_cast<std::size_t>(number)] = {l.address, std::make_unique<NodeLink>(loop_, number, o, *this), {}, 0};
+      n = {l.address, std::make_unique<NodeLink>(loop_, e.node, o, *this)};
     }
-    Entry e;
-    e.node = number;
-    e.fresh = fresh;
+    const double before = e.came_up;
     e.zone = l.zone;
     e.shard = l.shard;
     e.listing = l.listing;
     e.came_up = l.came_up == 0 ? 0 : std::max(1e-9 * static_cast<double>(l.came_up) - wall_offset_, 1e-6);
-    NodeEntry& n = nodes_[static_cast<std::size_t>(number)];
-    if (!fresh && e.came_up > n.listed.came_up) n.link->restart("another process is at this address now");
-    n.listed = e;
+    if (!e.fresh && e.came_up > before) n.link->restart("another process is at this address now");
+    numbers_.listed(loop_.now(), e);
     entries.push_back(e);
-    named.insert(number);
-  }
-  for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    if (named.contains(static_cast<int>(i)) || nodes_[i].listed.listing == Listing::kGone) continue;
-    nodes_[i].listed.listing = Listing::kGone;
-    nodes_[i].gone_at = loop_.now();
   }
+  numbers_.only(loop_.now(), entries);
   return entries;
 }
 
-// Danger: machines are replaced for years, and each address would keep its place, its link and a timer. One that
-// no list has named for as long as a link may be idle, and at which nothing is out, is let go; a later one gets
-// its number. May hurt a node that is away for longer: it is unheard again.
+// A link goes with its number, once it may no longer be idle and nothing is out at it.
 void Scheduler::let_go_of_gone() {
-  for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    NodeEntry& n = nodes_[i];
-    if (!n.link || n.listed.listing != Listing::kGone || loop_.now() < n.gone_at + config_.idle_close) continue;
-    if (n.link->out() > 0) continue;
-    node_numbers_.erase(n.address.text());
-    n.link.reset();
-    free_numbers_.push_back(static_cast<int>(i));
+  const auto busy = [&](int node) { return nodes_[static_cast<std::size_t>(node)].link->out() > 0; };
+  for (const int node : numbers_.let_go(loop_.now(), config_.idle_close, busy)) {
+    nodes_[static_cast<std::size_t>(node)].link.reset();
   }
 }
 
 void Scheduler::connect_to_listed() {
-  for (NodeEntry& n : nodes_) {
-    if (n.listed.listing == Listing::kReady) n.link->open();
+  for (int i = 0; i < numbers_.most(); ++i) {
+    if (numbers_.entry(i).listing == Listing::kReady) nodes_[static_cast<std::size_t>(i)].link->open();
   }
 }
 
@@ -493,8 +455,9 @@
   const auto entries = take_list(nodes);
   log_.info(loop_.now(), "list.came", {{"nodes", entries.size()}});
   control_->list_news(now(), Scope::kWhole, entries);
-  for (NodeEntry& n : nodes_) {
-    if (n.link && n.listed.listing != Listing::kReady) n.link->drain();
+  for (int i = 0; i < numbers_.most(); ++i) {
+    NodeEntry& n = nodes_[static_cast<std::size_t>(i)];
+    if (n.link && numbers_.entry(i).listing != Listing::kReady) n.link->drain();
   }
   connect_to_listed();
   let_go_of_gone();
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -13,6 +13,9 @@
 #include "log/log.h"
 #include "gateway/match.h"
 #include "gateway/node_link.h"
+#include "host/beat.h"
+#include "host/node_numbers.h"
+#include "host/slots.h"
 #include "nvme/target.h"
 
 namespace heronworks::gateway {
@@ -49,7 +52,7 @@
   std::string reasons() const;
   std::size_t unread() const { return target_->unsent(); }  // bytes of answers that clients have not taken yet
   bool door_empty() const { return door_.empty(); }
-  std::size_t open() const { return slots_.size() - free_.size(); }
+  std::size_t open() const { return slots_.open(); }
 
   // Takes nothing new, ends what it took, then calls `done`.
   void drain(std::function<void()> done);
@@ -100,8 +103,6 @@
   struct NodeEntry {
     Address address;
     std::unique_ptr<NodeLink> link;
-    Entry listed;
-    double gone_at = 0;
   };
 
   // From nodes and the list.
@@ -125,7 +126,6 @@
   void answer(Slot& slot, nvme::Status status, std::uint64_t result = 0, nvme::View data = {});
   void check_drained();
   void report();
-  void beat();
 
   Loop& loop_;
   const config::GatewayConfig& config_;
@@ -135,8 +135,7 @@
   std::unique_ptr<nvme::Target> target_;
   std::unique_ptr<ListWatch> list_;
   std::unique_ptr<Control> control_;
-  std::vector<Slot> slots_;           // by transaction; as many as were ever open at once
-  std::vector<int> free_;
+  Slots<Slot> slots_;  // by transaction
   std::unordered_map<nvme::ConnectionId, std::set<int>> by_client_;  // open ones; emptied with them
   std::unordered_map<nvme::ConnectionId, ClientFacts> facts_;        // of I/O connections; emptied as they close
   store::DiskFiles files_;
@@ -147,12 +146,10 @@
   Loop::Timer draining_ = 0;
   Door door_;
   std::vector<NodeEntry> nodes_;      // by the module's index; one whose address is gone for long has no link
-  std::map<std::string, int> node_numbers_;  // of those that have one; looked through as lists come
-  std::vector<int> free_numbers_;
+  NodeNumbers numbers_;               // by address
   Loop::Timer wake_ = 0;
   Loop::Timer report_ = 0;
-  Loop::Timer beat_ = 0;
-  double beat_due_ = 0;
+  std::unique_ptr<Beat> beat_;
   Counts counts_;
   Counts reported_;
   std::function<void()> drained_;
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -34,13 +34,6 @@
   const char* level = std::getenv("HERONWORKS_LOG");
   Log log("", level == nullptr ? "info" : level, kLogLines);
   Scheduler scheduler(loop, std::move(config), log);
-  bool draining = false;
-  const auto stop = [&] {
-    if (std::exchange(draining, true)) return;
-    scheduler.drain([&] { loop.stop(); });
-  };
-  loop.on_signal(SIGTERM, stop);
-  loop.on_signal(SIGINT, stop);
   loop.on_signal(SIGHUP, [&] {
     try {
       scheduler.reload(read_config(variables));
@@ -48,9 +41,10 @@
       log.error(loop.now(), "reload.failed", {{"reason", fault.what()}});
     }
   });
-  sigprocmask(SIG_UNBLOCK, &ours, nullptr);
   log.info(loop.now(), "started");
-  loop.run();
+  // The three are let in once the loop listens to all of them, in its first turn.
+  loop.defer([&] { sigprocmask(SIG_UNBLOCK, &ours, nullptr); });
+  run_until_told(loop, [&](auto done) { scheduler.drain(std::move(done)); });
   log.info(loop.now(), "stopped");
   return 0;
 }
--- a/src/platform/scheduler.cpp
+++ b/src/platform/scheduler.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr double kReportEvery = 1.0;  // s between two lines of counts in the log
-constexpr double kBeat = 0.02;  // s between two looks at the sockets, at most; the loop then knows a stall
 // The platform kills a scheduler that is to stop no sooner than its longest cut-off, counted as 3 s where it
 // is longer, and 0.7 s after SIGTERM. Its clients open connections for up to 0.4 s and keep to those they
 // have for as long as they are open: nobody else serves them. So it serves on, and what comes is given no
@@ -24,6 +23,7 @@
 constexpr double kAcceptFor = 0.6;    // s after SIGTERM in which new connections are taken
 constexpr double kGoneFor = 10.0;     // s after which the index of a node that is gone is given away
 constexpr double kVolumeRest = 30.0;  // s; no shorter than a limit's store needs to be full again
+constexpr std::size_t kMostZones = 256;
 constexpr int kTurnedBack = 503;
 constexpr int kGivenUp = 504;
 
@@ -79,23 +79,14 @@
   }
   front_ = std::make_unique<Front>(loop_, std::move(listener), descriptors_, *this);
   report_ = loop_.at(loop_.now() + kReportEvery, [this] { report(); });
-  beat();
+  beat_ = std::make_unique<Beat>(loop_, log_);
 }
 
 Scheduler::~Scheduler() {
   loop_.cancel(wake_);
-  loop_.cancel(beat_);
   loop_.cancel(report_);
 }
 
-void Scheduler::beat() {
-  if (const double still = loop_.now() - beat_due_; beat_due_ > 0 && still > Loop::kStall) {
-    log_.warn(loop_.now(), "stood_still", {{"seconds", still}});
-  }
-  beat_due_ = loop_.now() + kBeat;
-  beat_ = loop_.at(beat_due_, [this] { beat(); });
-}
-
 void Scheduler::drain(std::function<void()> done) {
   log_.info(loop_.now(), "drain.began", {{"open", open()}, {"clients", front_->clients()}});
   double longest = 0;
@@ -156,17 +147,8 @@
   w.t.volume = place->index;
   w.t.fresh = place->fresh;
 
-  int id = 0;
-  if (free_.empty()) {
-    id = static_cast<int>(slots_.size());
-    slots_.emplace_back();
-  } else {
-    id = free_.back();
-    free_.pop_back();
-  }
-  Slot& s = slot(id);
-  s = Slot{};
-  s.used = true;
+  const int id = slots_.take();
+  Slot& s = slots_[id];
   s.client = client;
   s.profile = w.t.profile;
   s.volume = w.volume;
@@ -182,7 +164,7 @@
   const auto at = by_client_.find(client);
   if (at == by_client_.end()) return;
   const int id = at->second;
-  Slot& s = slot(id);
+  Slot& s = slots_[id];
   by_client_.erase(at);
   by_call_.erase(s.call);
   s.answered = true;
@@ -203,7 +185,7 @@
 // ---- From the module ----
 
 void Scheduler::dispatch(int transaction, int node, double try_for) {
-  Slot& s = slot(transaction);
+  Slot& s = slots_[transaction];
   ++counts_.dispatched;
   const auto& profile = config_.settings().profiles[static_cast<std::size_t>(s.profile)];
   const double wait = try_for > 0 ? try_for : profile.cut_off;
@@ -225,19 +207,17 @@
 
 void Scheduler::turn_back(int transaction, double wait) {
   ++counts_.turned_back;
-  answer(slot(transaction), {kTurnedBack, retry_after(wait), ""});
+  answer(slots_[transaction], {kTurnedBack, retry_after(wait), ""});
 }
 
 void Scheduler::give_up(int transaction) {
   ++counts_.given_up;
-  answer(slot(transaction), {kGivenUp, "", ""});
+  answer(slots_[transaction], {kGivenUp, "", ""});
 }
 
 void Scheduler::forget(int transaction) {
-  Slot& s = slot(transaction);
-  volumes_.ended(now(), s.volume);
-  s = Slot{};
-  free_.push_back(transaction);
+  volumes_.ended(now(), slots_[transaction].volume);
+  slots_.give(transaction);
 }
 
 void Scheduler::watch_list() { discovery_->watch(); }
@@ -250,7 +230,7 @@
 // ---- From nodes ----
 
 void Scheduler::ended(int node, const PoolDispatch& d, Outcome outcome, http::Message&& a) {
-  Slot& s = slot(d.transaction);
+  Slot& s = slots_[d.transaction];
   ++counts_.outcomes[static_cast<std::size_t>(outcome)];
   Reply r;
   r.dispatch = d.number;
@@ -276,46 +256,26 @@
 
 std::vector<Entry> Scheduler::take_servers(const std::vector<Server>& servers, bool whole) {
   std::vector<Entry> entries;
-  std::set<int> named;
   for (const Server& l : servers) {
-    const auto known = node_numbers_.find(l.id);
-    if (known == node_numbers_.end() && l.listing == Listing::kGone) continue;
-    Entry e;
-    e.fresh = known == node_numbers_.end();
-    if (!e.fresh) {
-      e.node = known->second;
-    } else {
-      e.node = free_numbers_.empty() ? static_cast<int>(nodes_.size()) : free_numbers_.back();
-      if (free_numbers_.empty()) nodes_.emplace_back();
-      else free_numbers_.pop_back();
-      node_numbers_[l.id] = e.node;
-      nodes_[static_cast<std::size_t>(e.node)] = NodeEntry{l.id, {}, 0};
+    if (l.listing == Listing::kGone && !numbers_.knows(l.id)) continue;
+    if (l.listing != Listing::kGone && !zones_.contains(l.zone) && zones_.size() >= kMostZones) {
+      log_.warn(loop_.now(), "list.bad_entry", {{"fault", "one zone more than there may be: " + l.zone}});
+      continue;
     }
-    NodeEntry& n = nodes_[static_cast<std::size_t>(e.node)];
-    if (l.listing == Listing::kGone) {
-      const bool fresh = e.fresh;
-      e = n.listed;
-      e.fresh = fresh;
-    } else {
+    Entry e = numbers_.begin(l.id);
+    const double before = e.came_up;
+    e.listing = l.listing;
+    if (l.listing != Listing::kGone) {
       e.zone = zones_.emplace(l.zone, static_cast<int>(zones_.size())).first->second;
       e.shard = l.shard;
       e.came_up = l.started == 0 ? 0 : std::max(l.started - wall_offset_, 1e-6);
       pool_->place(e.node, l.address);
-      if (!e.fresh && e.came_up > n.listed.came_up) pool_->close_idle(e.node);
+      if (!e.fresh && e.came_up > before) pool_->close_idle(e.node);
     }
-    e.listing = l.listing;
-    if (l.listing == Listing::kGone && n.listed.listing != Listing::kGone) n.gone_at = loop_.now();
-    n.listed = e;
-    n.listed.fresh = false;
+    numbers_.listed(loop_.now(), e);
     entries.push_back(e);
-    named.insert(e.node);
-  }
-  for (std::size_t i = 0; whole && i < nodes_.size(); ++i) {
-    NodeEntry& n = nodes_[i];
-    if (n.id.empty() || named.contains(static_cast<int>(i)) || n.listed.listing == Listing::kGone) continue;
-    n.listed.listing = Listing::kGone;
-    n.gone_at = loop_.now();
   }
+  if (whole) numbers_.only(loop_.now(), entries);
   return entries;
 }
 
@@ -324,24 +284,10 @@
   const auto entries = take_servers(news.servers, news.whole);
   control_->list_news(now(), scope, entries);
   // The module has heard: nothing more goes there, and what has not begun yet is taken back.
-  for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    if (!nodes_[i].id.empty() && nodes_[i].listed.listing != Listing::kReady)
-      pool_->wind_up(static_cast<int>(i));
-  }
-  let_go_of_gone();
-}
-
-// Danger: machines are replaced all day under new ids, and each would keep its place. One that is gone for
-// long enough and has nothing out is let go of; another gets its number.
-void Scheduler::let_go_of_gone() {
-  for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    NodeEntry& n = nodes_[i];
-    if (n.id.empty() || n.listed.listing != Listing::kGone || loop_.now() < n.gone_at + kGoneFor) continue;
-    if (pool_->out(static_cast<int>(i)) > 0) continue;
-    node_numbers_.erase(n.id);
-    n = NodeEntry{};
-    free_numbers_.push_back(static_cast<int>(i));
+  for (int i = 0; i < numbers_.most(); ++i) {
+    if (numbers_.entry(i).listing != Listing::kReady) pool_->wind_up(i);
   }
+  numbers_.let_go(loop_.now(), kGoneFor, [&](int node) { return pool_->out(node) > 0; });
 }
 
 void Scheduler::news(const ServerNews& news) {
@@ -388,7 +334,7 @@
              {"surplus", p.surplus - reported_pool_.surplus},
              {"no_descriptor", p.no_room - reported_pool_.no_room},
              {"node_links", descriptors_.taken(Descriptors::User::kNodes)},
-             {"nodes", node_numbers_.size()},
+             {"nodes", numbers_.known()},
              {"volumes", volumes_.size()}});
   reported_ = counts_;
   reported_front_ = f;
--- a/src/platform/scheduler.h
+++ b/src/platform/scheduler.h
@@ -4,10 +4,12 @@
 #pragma once
 
 #include <map>
-#include <set>
 #include <unordered_map>
 
 #include "control.h"
+#include "host/beat.h"
+#include "host/node_numbers.h"
+#include "host/slots.h"
 #include "log/log.h"
 #include "platform/config.h"
 #include "platform/discovery.h"
@@ -46,8 +48,8 @@
   const Counts& counts() const { return counts_; }
   const Front& front() const { return *front_; }
   const NodePool& pool() const { return *pool_; }
-  std::size_t open() const { return slots_.size() - free_.size(); }
-  std::size_t nodes() const { return node_numbers_.size(); }
+  std::size_t open() const { return slots_.open(); }
+  std::size_t nodes() const { return numbers_.known(); }
 
   // Goes on taking what still comes for a while, answers all, then calls `done`.
   void drain(std::function<void()> done);
@@ -74,7 +76,6 @@
  private:
   // A transaction from landing until the module forgets it.
   struct Slot {
-    bool used = false;
     bool answered = false;
     ClientId client = 0;
     int profile = 0;
@@ -83,19 +84,11 @@
     std::string call;
     http::Message request;  // until it is answered
   };
-  struct NodeEntry {
-    std::string id;  // empty: the index is free
-    Entry listed;
-    double gone_at = 0;
-  };
 
   double now() const { return loop_.turn_time(); }
-  Slot& slot(int transaction) { return slots_[static_cast<std::size_t>(transaction)]; }
   void answer(Slot& s, ClientAnswer answer);
   std::vector<Entry> take_servers(const std::vector<Server>& servers, bool whole);
   void take_news(const ServerNews& news, Scope scope);
-  void let_go_of_gone();
-  void beat();
   void report();
 
   Loop& loop_;
@@ -108,18 +101,14 @@
   std::unique_ptr<Discovery> discovery_;
   std::unique_ptr<Control> control_;
   std::unique_ptr<Front> front_;
-  std::vector<Slot> slots_;  // by transaction; as many as were ever open at once
-  std::vector<int> free_;
+  Slots<Slot> slots_;  // by transaction
   std::unordered_map<ClientId, int> by_client_;     // open ones; emptied as they are answered or left
   std::unordered_map<std::string, int> by_call_;    // the same
-  std::vector<NodeEntry> nodes_;                    // by the module's index
-  std::map<std::string, int> node_numbers_;         // by id; let go of some time after they are gone
-  std::vector<int> free_numbers_;
-  std::map<std::string, int> zones_;                // as many as there are
+  NodeNumbers numbers_;                             // by id
+  std::map<std::string, int> zones_;                // at most kMostZones; an entry of one more is left out
   Loop::Timer wake_ = 0;
-  Loop::Timer beat_ = 0;
+  std::unique_ptr<Beat> beat_;
   Loop::Timer report_ = 0;
-  double beat_due_ = 0;
   double stop_at_ = 0;  // when all must be answered; 0: not stopping
   Counts counts_;
   Counts reported_;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -289,6 +289,33 @@
   CHECK(s.matches("alone"));
 }
 
+TEST_CASE("a volume whose index was another's begins anew: nothing spent, nobody's patience") {
+  Settings settings = plain_settings();
+  settings.plans[0].limit = 8;
+  settings.plans[0].burst = 8;
+  Stage s(settings, {listed(0)});
+  s.until(110);  // its slice of the limit is full
+  for (int i = 0; i < 2; ++i) {
+    s.land(i);
+    s.reply(i, Outcome::kHonoured);
+  }
+  for (int i = 10; i < 20; ++i) {  // and its clients leave at once
+    s.land(i, 0, 2, 5);
+    s.abandon(i);
+  }
+  s.until(110.2);
+  s.quiet();
+  s.say("the same volume: nothing left for it");
+  s.land(30);
+  s.until(110.3);
+  s.say("another");
+  s.land(31, 0, 2, 0, 0, 7, 2, true);
+  s.reply(31, Outcome::kHonoured);
+  s.land(32, 0, 2, 5, 0, 8);
+  s.until(111);
+  CHECK(s.matches("fresh"));
+}
+
 TEST_CASE("a tenant that lands and leaves at once shortens nobody else's contract time") {
   Stage s(plain_settings(), {listed(0)});
   for (int i = 0; i < 40; ++i) {
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -66,8 +66,9 @@
   // Time passes without them: the scheduler stands still.
   void stall_until(double time) { now_ = time; }
   void land(int id, int profile = 0, double units = 2, int shard = 0, int volume = 0, std::uint64_t key = 1,
-            double left = 2) {
+            double left = 2, bool fresh = false) {
     Transaction t;
+    t.fresh = fresh;
     t.has_key = true;
     t.key = key;
     t.time_left = left;
