--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,187 @@
+"""A disk server sends some answers a second time, some milliseconds late, over a network with the site's delays."""
+import os
+import sys
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib"))
+from standins import *  # noqa: E402,F403
+import queue  # noqa: E402
+import socket  # noqa: E402
+import threading  # noqa: E402
+
+DELAY = 0.00075     # s one way between scheduler and disk server; the site file has cross_ms = [0.42, 0.78]
+COPY_AFTER = 0.012  # s from an answer to its copy
+NEXT_AFTER = 0.011  # s from an answer to the next request of the client
+ROUNDS = 150
+QUIET = 0.03        # s between two rounds
+
+
+class Relay:
+    """The network: everything arrives DELAY after it was sent, in order, in both directions."""
+
+    def __init__(self, port):
+        self.port_behind = port
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            near, _ = self.listener.accept()
+            far = socket.create_connection(("127.0.0.1", self.port_behind))
+            for a, b in ((near, far), (far, near)):
+                a.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                line = queue.SimpleQueue()
+                threading.Thread(target=self.take, args=(a, line), daemon=True).start()
+                threading.Thread(target=self.pass_on, args=(b, line), daemon=True).start()
+
+    def take(self, source, line):
+        while True:
+            try:
+                data = source.recv(65536)
+            except OSError:
+                data = b""
+            line.put((time.monotonic() + DELAY, data))
+            if not data:
+                return
+
+    def pass_on(self, target, line):
+        while True:
+            at, data = line.get()
+            wait = at - time.monotonic()
+            if wait > 0:
+                time.sleep(wait)
+            try:
+                if not data:
+                    target.shutdown(socket.SHUT_WR)
+                    return
+                target.sendall(data)
+            except OSError:
+                return
+
+
+class DiskServer:
+    """Answers at once. Every other answer comes a second time unless another request waits on the connection."""
+
+    def __init__(self, record):
+        self.record = record
+        self.answers = 0
+        self.copies = 0
+        self.held_back = 0
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            connection, _ = self.listener.accept()
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        received = b""
+        copy = None       # (when, the answer)
+        try:
+            while True:
+                connection.settimeout(None if copy is None else max(copy[0] - time.monotonic(), 1e-5))
+                try:
+                    data = connection.recv(65536)
+                except (socket.timeout, BlockingIOError):
+                    self.copies += 1
+                    self.record("disk server: sends the answer to %s again; nothing waits on its connection"
+                                % copy[2])
+                    connection.settimeout(5)
+                    connection.sendall(copy[1])
+                    copy = None
+                    continue
+                if not data:
+                    return
+                received += data
+                if copy is not None:  # "when nothing else is waiting on the connection"
+                    self.held_back += 1
+                    copy = None
+                if b"\r\n\r\n" not in received:
+                    continue
+                head, received = received.split(b"\r\n\r\n", 1)
+                call_id = re.search(rb"X-Call-Id: (\S+)", head).group(1).decode()
+                body = body_of("s-0", call_id)
+                answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+                connection.settimeout(5)
+                connection.sendall(answer)
+                self.answers += 1
+                self.record("disk server: runs %s and answers it" % call_id)
+                if TROUBLE and self.answers % 2:
+                    copy = (time.monotonic() + COPY_AFTER, answer, call_id)
+        except OSError:
+            pass
+        finally:
+            connection.close()
+
+
+def one_request(record, connection, call_id, name, volume):
+    record("%s: sends %s, a read of volume %d" % (name, call_id, volume))
+    connection.sendall(request_bytes(call_id, "rate-read", volume, volume, budget_ms=3000))
+    got = b""
+    while True:
+        if b"\r\n\r\n" in got:
+            head, body = got.split(b"\r\n\r\n", 1)
+            length = int(re.search(rb"content-length: (\d+)", head.lower()).group(1))
+            if len(body) >= length:
+                break
+        data = connection.recv(65536)
+        if not data:
+            return None
+        got += data
+    at = time.monotonic()
+    status = int(head.split(b" ")[1])
+    record("%s: answered %d %r" % (name, status, body))
+    return status, body, at
+
+
+def clients(record, address):
+    """Two clients by turns, each on its own connection and for its own volume. A round is a request of each."""
+    breaks = []
+    host, port = address.rsplit(":", 1)
+
+    def connect():
+        connection = socket.create_connection((host, int(port)))
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.settimeout(4)
+        return connection
+
+    first, second = connect(), connect()
+    for i in range(1, ROUNDS + 1):
+        for volume, name, connection in ((1, "first client", first), (2, "second client", second)):
+            call_id = "%x%015x" % (volume, i)
+            answered = one_request(record, connection, call_id, name, volume)
+            if answered is None:
+                breaks.append("%s got no answer" % call_id)
+                return breaks
+            status, body, at = answered
+            if status == 200 and body != body_of("s-0", call_id):
+                breaks.append("%s was served with %r" % (call_id, body))
+            if connection is first:
+                time.sleep(max(at + NEXT_AFTER - time.monotonic(), 0))
+        time.sleep(QUIET)
+    return breaks
+
+
+async def play(record, schedulers):
+    discovery = Discovery(record)
+    await discovery.start()
+    node = DiskServer(record)
+    relay = Relay(node.port)
+    discovery.put({"instanceId": "s-0", "hostPort": "127.0.0.1:%d" % relay.port, "zone": "hall-b",
+                   "machineType": "standard", "cell": 0, "lifecycle": "Ready", "weight": 1.0, "startedAtMs": 0})
+    classes = [request_class("rate-read", "safe", 0.6, 3.0)]
+    scheduler = Scheduler(record, discovery.address, settings(classes, [PLAN]), discovery.whole())
+    schedulers.append(scheduler)
+    scheduler.start()
+    await scheduler.ready()
+    breaks = await asyncio.get_running_loop().run_in_executor(None, clients, record, scheduler.listen)
+    record("disk server: %d answers, %d of them a second time, %d copies held back as a request had come" % (
+        node.answers, node.copies, node.held_back))
+    return breaks
+
+
+run_case(HERE, play)
