--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,14 +6,16 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib"))
 from standins import *  # noqa: E402,F403
 import queue  # noqa: E402
+import random  # noqa: E402
 import socket  # noqa: E402
 import threading  # noqa: E402
 
-DELAY = 0.00075     # s one way between scheduler and disk server; the site file has cross_ms = [0.42, 0.78]
-COPY_AFTER = 0.012  # s from an answer to its copy
-NEXT_AFTER = 0.011  # s from an answer to the next request of the client
-ROUNDS = 150
-QUIET = 0.03        # s between two rounds
+DELAY = 0.00075            # s one way between scheduler and disk server; the site file has cross_ms = [0.42, 0.78]
+COPY_AFTER = (0.001, 0.011)  # s from an answer to its copy, drawn evenly
+SERVICE = (0.001, 0.003)   # s that a request takes
+CLIENTS = 10
+RATE = 200.0               # requests a second of all clients
+SECONDS = 20
 
 
 class Relay:
@@ -61,13 +63,14 @@
 
 
 class DiskServer:
-    """Answers at once. Every other answer comes a second time unless another request waits on the connection."""
+    """Every other answer comes a second time, unless another request has come on the connection by then."""
 
     def __init__(self, record):
         self.record = record
         self.answers = 0
         self.copies = 0
         self.held_back = 0
+        self.lock = threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -87,7 +90,8 @@
                 try:
                     data = connection.recv(65536)
                 except (socket.timeout, BlockingIOError):
-                    self.copies += 1
+                    with self.lock:
+                        self.copies += 1
                     self.record("disk server: sends the answer to %s again; nothing waits on its connection"
                                 % copy[2])
                     connection.settimeout(5)
@@ -98,7 +102,8 @@
                     return
                 received += data
                 if copy is not None:  # "when nothing else is waiting on the connection"
-                    self.held_back += 1
+                    with self.lock:
+                        self.held_back += 1
                     copy = None
                 if b"\r\n\r\n" not in received:
                     continue
@@ -107,11 +112,14 @@
                 body = body_of("s-0", call_id)
                 answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
                 connection.settimeout(5)
+                time.sleep(random.uniform(*SERVICE))
                 connection.sendall(answer)
-                self.answers += 1
                 self.record("disk server: runs %s and answers it" % call_id)
-                if TROUBLE and self.answers % 2:
-                    copy = (time.monotonic() + COPY_AFTER, answer, call_id)
+                with self.lock:
+                    self.answers += 1
+                    again = TROUBLE and self.answers % 2 == 1
+                if again:
+                    copy = (time.monotonic() + random.uniform(*COPY_AFTER), answer, call_id)
         except OSError:
             pass
         finally:
@@ -132,37 +140,41 @@
         if not data:
             return None
         got += data
-    at = time.monotonic()
     status = int(head.split(b" ")[1])
     record("%s: answered %d %r" % (name, status, body))
-    return status, body, at
+    return status, body
 
 
-def clients(record, address):
-    """Two clients by turns, each on its own connection and for its own volume. A round is a request of each."""
-    breaks = []
+def client(record, address, number, breaks):
+    """One client with its own connection and its own volume, one request at a time, at random times."""
     host, port = address.rsplit(":", 1)
+    connection = socket.create_connection((host, int(port)))
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.settimeout(4)
+    end = time.monotonic() + SECONDS
+    at = time.monotonic()
+    i = 0
+    while at < end:
+        at += random.expovariate(RATE / CLIENTS)
+        time.sleep(max(at - time.monotonic(), 0))
+        i += 1
+        call_id = "%02x%014x" % (number, i)
+        answered = one_request(record, connection, call_id, "client %d" % number, number)
+        if answered is None:
+            breaks.append("%s got no answer" % call_id)
+            return
+        status, body = answered
+        if status == 200 and body != body_of("s-0", call_id):
+            breaks.append("%s was served with %r" % (call_id, body))
 
-    def connect():
-        connection = socket.create_connection((host, int(port)))
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection.settimeout(4)
-        return connection
-
-    first, second = connect(), connect()
-    for i in range(1, ROUNDS + 1):
-        for volume, name, connection in ((1, "first client", first), (2, "second client", second)):
-            call_id = "%x%015x" % (volume, i)
-            answered = one_request(record, connection, call_id, name, volume)
-            if answered is None:
-                breaks.append("%s got no answer" % call_id)
-                return breaks
-            status, body, at = answered
-            if status == 200 and body != body_of("s-0", call_id):
-                breaks.append("%s was served with %r" % (call_id, body))
-            if connection is first:
-                time.sleep(max(at + NEXT_AFTER - time.monotonic(), 0))
-        time.sleep(QUIET)
+
+def clients(record, address):
+    breaks = []
+    threads = [threading.Thread(target=client, args=(record, address, n, breaks)) for n in range(1, CLIENTS + 1)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
     return breaks
 
 
