--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,6 +16,7 @@
 CLIENTS = 10
 RATE = 200.0               # requests a second of all clients
 SECONDS = 20
+SEED = 1
 
 
 class Relay:
@@ -169,6 +170,7 @@
 
 
 def clients(record, address):
+    random.seed(SEED)
     breaks = []
     threads = [threading.Thread(target=client, args=(record, address, n, breaks)) for n in range(1, CLIENTS + 1)]
     for thread in threads:
