--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -323,6 +323,7 @@
 
 def run_case(folder, play, limit=110):
     """Plays `play(record, schedulers)`, which returns the list of breaks. Exits with 0, 1 or 2."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends the schedulers too, by `finally`
     record = Record(folder)
     schedulers = []
     try:
