http: a Content-Length is accepted where the body has no limit

Callers saw: a scheduler whose discovery service answers the watch with a Content-Length in place of chunks never takes a list from it and keeps the old one. Cause: "no limit" was given to Beast's parser as boost::none, and Boost 1.74 compares each length with the optional itself, which any number exceeds. Evidence: `list.failed` says "body exceeds its size limit" for a list of 400 bytes; the reader's new test fails on a body of three bytes. Change: the parser gets the largest number as its limit, so no length exceeds it; lines of a watch keep their own bound.

--- a/src/http/reader.cpp
+++ b/src/http/reader.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
-#include <limits>
 
 namespace heronworks::http {
 namespace {
@@ -92,8 +91,8 @@
       parser.emplace(message);
       parser->eager(true);
       parser->header_limit(static_cast<std::uint32_t>(limits.head_bytes + kHeaderLimitSlackBytes));
-      if (limits.body_bytes == std::numeric_limits<std::size_t>::max()) parser->body_limit(boost::none);
-      else parser->body_limit(limits.body_bytes);
+      // Not boost::none for a body without limit: Beast then rejects every Content-Length.
+      parser->body_limit(std::uint64_t{limits.body_bytes});
     };
     if (kind == MessageKind::kRequest) init(request);
     else init(response);
--- a/tests/http/reader_test.cpp
+++ b/tests/http/reader_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 using namespace heronworks::http;
 
 namespace {
@@ -144,3 +146,16 @@
   put("0\r\n\r\n");
   CHECK(reader.done());
 }
+
+// Guards against an endpoint list being refused for its Content-Length, whatever that is.
+TEST_CASE("http: without a body limit, any Content-Length is accepted") {
+  const MessageLimits unlimited{8192, std::numeric_limits<std::size_t>::max(), 64};
+  const auto complete =
+      parse_whole(MessageKind::kResponse, "HTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\nabc", unlimited);
+  CHECK(complete.done);
+  CHECK(complete.message.body == "abc");
+  const auto huge = parse_whole(MessageKind::kResponse,
+                                "HTTP/1.1 200 X\r\nContent-Length: 3221225472\r\n\r\nabc", unlimited);
+  CHECK(huge.error == ParseError::kNone);
+  CHECK(!huge.done);
+}
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -104,6 +104,7 @@
           requests.push_back(peer.input.substr(0, peer.input.find(" HTTP")));
           peer.input.clear();
           if (!responds) return;
+          if (!first_response.empty()) return peer.send(std::exchange(first_response, {}));
           peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
           send_line(peer, first_line);
         }) {}
@@ -116,6 +117,7 @@
   void push(const std::string& text) { send_line(*server.peers.back(), text); }
 
   bool responds = true;
+  std::string first_response;  // raw, to the first request; empty: as to the others
   std::string first_line;  // of each watch; empty: nothing has changed
   std::vector<std::string> requests;
   PeerServer server;
--- a/tests/platform/scheduler_test.cpp
+++ b/tests/platform/scheduler_test.cpp
@@ -557,6 +557,38 @@
   }
 }
 
+// Guards against lists with a Content-Length being refused, and against a cut list passing for a whole one
+// (docs/incidents/list-with-a-length-refused.md).
+TEST_CASE("platform: a list cut off by its length, or sent twice, takes effect by whole lines and entries") {
+  PlatformFixture fixture;
+  const std::string list =
+      fixture.update_text(8, false,
+                          {fixture.entry_text("s-0", fixture.node0.server.address, 0, "Terminating"),
+                           fixture.entry_text("s-1", fixture.node1.server.address, 1, "Terminating")}) +
+      "\n";
+  const auto with_length = [&](std::size_t length) {
+    return "HTTP/1.1 200 X\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n" + list;
+  };
+  fixture.discovery.first_line = list.substr(0, list.size() - 1);
+  std::string next_request = "GET /v1/servers?follow=1&since=7";
+  SUBCASE("cut off within the second entry") {
+    fixture.discovery.first_response = with_length(list.size() - 20);
+  }
+  SUBCASE("cut off before its line ends") { fixture.discovery.first_response = with_length(list.size() - 1); }
+  SUBCASE("sent twice") {
+    fixture.discovery.first_response = with_length(list.size()) + with_length(list.size());
+    next_request = "GET /v1/servers?follow=1&since=8";
+  }
+  fixture.start();
+  CHECK(fixture.send_and_wait(fixture.request("a", "", 0)) == 503);  // its entry was complete
+  REQUIRE(fixture.run_until([&] { return fixture.discovery.requests.size() == 2; }, 3));
+  CHECK(fixture.discovery.requests.back() == next_request);
+  fixture.run_for(0.05);
+  CHECK(fixture.send_and_wait(fixture.request("b", "", 1)) == 503);
+  CHECK(fixture.node0.received.empty());
+  CHECK(fixture.node1.received.empty());
+}
+
 TEST_CASE("platform: a thousand node ids and ten thousand connections leak nothing") {
   const auto open_descriptors = [] {
     std::size_t n = 0;
