platform: a reply with other bytes behind it is an error, not a success cut off

Cause: a node's Content-Length was less than the body behind it. The pool took the reply as complete there and used the bytes behind it only to close the connection. Change: outcome_of, in a module of its own, is given those bytes. Unless they are a second copy of the reply, it is an error that may have executed. A reply that ends where a read ends waits for what the kernel still holds. Why it works: bytes right behind a reply are its own rest, a copy or noise; only the copy shows that the reply is whole. Related: a too large length that a copy fills up (served "dataHTTP/1.1 " before), rejections with noise behind them. The test "a valid reply with excess data succeeds" asked for the fault itself ("noise" at once: 200). In its place: copies still succeed, what comes later still closes the connection, and anything else at once is an error, never served.

--- a/src/http/message.h
+++ b/src/http/message.h
@@ -11,6 +11,8 @@
 struct Field {
   std::string name;
   std::string value;
+
+  bool operator==(const Field&) const = default;
 };
 
 struct Message {
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -129,12 +129,16 @@
   flush();
 }
 
-bool Stream::peer_idle() const {
+// As recv(2) of one byte, which stays unread. Does not wait.
+long Stream::peek() const {
   std::uint8_t byte = 0;
-  return fd_ && ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-         (errno == EAGAIN || errno == EWOULDBLOCK);
+  return ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 }
 
+bool Stream::peer_idle() const { return fd_ && peek() < 0 && (errno == EAGAIN || errno == EWOULDBLOCK); }
+
+bool Stream::has_unread_bytes() const { return fd_ && peek() > 0; }
+
 // As recv(2). Also sets the arrival time if receive timestamps are enabled.
 long Stream::receive(std::uint8_t* buffer, std::size_t size) {
   if (!receive_timestamps_) return ::recv(fd_.get(), buffer, size, 0);
--- a/src/loop/stream.h
+++ b/src/loop/stream.h
@@ -68,6 +68,8 @@
   // True if the peer has neither sent anything that is still unread nor closed the connection. Asks the
   // kernel.
   bool peer_idle() const;
+  // True if the peer has sent bytes that are still unread. Asks the kernel.
+  bool has_unread_bytes() const;
   // Bytes that were read but not consumed by the handler.
   std::size_t unconsumed() const { return unconsumed_; }
   void close();
@@ -97,6 +99,7 @@
   void fail(const std::string& reason);
   void handle_eof();
   long receive(std::uint8_t* buffer, std::size_t size);
+  long peek() const;
 
   Loop& loop_;
   Fd fd_;
--- a/src/platform/node_connection_pool.cpp
+++ b/src/platform/node_connection_pool.cpp
@@ -4,21 +4,13 @@
 #include <cmath>
 #include <string>
 
+#include "platform/reply_outcome.h"
+
 namespace heronworks::platform {
 namespace {
 
-constexpr http::MessageLimits kReplyLimits{8192, LargeBodyBudget::kMaxBodyBytes, 64};
 constexpr Stream::BufferLimits kStreamLimits{65536 + 16384, 65536, true};
 
-Outcome outcome_of(const http::Message& reply) {
-  if (reply.status == 200) return Outcome::kSucceeded;
-  const std::string* rejected = reply.find_field("X-Rejected");
-  if ((reply.status == 503 || reply.status == 504) && rejected && *rejected == "1") {
-    return Outcome::kQueueFull;
-  }
-  return Outcome::kError;
-}
-
 }  // namespace
 
 struct NodeConnectionPool::Connection final : StreamHandler {
@@ -81,7 +73,9 @@
       return bytes.size();
     }
     if (!reader.done()) return used;
-    on_reply_complete(used < bytes.size());
+    const auto excess = bytes.subspan(used);
+    if (excess.empty() && stream.has_unread_bytes()) return used;  // the next read is of excess bytes
+    on_reply_complete(excess);
     return bytes.size();
   }
 
@@ -92,13 +86,13 @@
     return true;
   }
 
-  // `has_excess_data`: more bytes were received behind the reply.
-  void on_reply_complete(bool has_excess_data) {
+  // `excess`: the bytes that were received behind the reply.
+  void on_reply_complete(std::span<const std::uint8_t> excess) {
     http::Message reply = reader.take_message();
-    const Outcome outcome = outcome_of(reply);
-    if (has_excess_data) ++pool.counts_.unexpected_data;
+    const Outcome outcome = outcome_of(reply, excess);
+    if (!excess.empty()) ++pool.counts_.unexpected_data;
     // If the reply precedes the end of the request, the connection cannot be reused.
-    const bool reusable = !has_excess_data && reply.keep_alive && stream.unsent() == 0;
+    const bool reusable = excess.empty() && reply.keep_alive && stream.unsent() == 0;
     finish(outcome, std::move(reply), reusable);
   }
 
@@ -110,7 +104,7 @@
   // A reply without a length is complete at the orderly end of its connection, but not at a reset
   // (RFC 9112, 6.3).
   void on_peer_closed() override {
-    if (state == State::kBusy && reader.put_eof()) return on_reply_complete(false);
+    if (state == State::kBusy && reader.put_eof()) return on_reply_complete({});
     on_closed("closed by the peer");
   }
 
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -5,6 +5,7 @@
 
 #include <unistd.h>
 
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -72,7 +73,7 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
 }
 
-// Sends `reply` to each request. Does not reply while `reply` is empty.
+// Sends `reply` to each request, and those of `first_replies` before. Does not reply while both are empty.
 struct ScriptedNode {
   struct ReceivedRequest {
     Peer* peer;
@@ -88,10 +89,16 @@
             if (!reader.done()) return;
             peer.input.erase(0, used);
             received.push_back({&peer, reader.take_message()});
-            if (!reply.empty()) peer.send(reply);
+            if (!first_replies.empty()) {
+              peer.send(first_replies.front());
+              first_replies.pop_front();
+            } else if (!reply.empty()) {
+              peer.send(reply);
+            }
           }
         }) {}
   std::string reply = http_reply(200, "data");
+  std::deque<std::string> first_replies;
   std::vector<ReceivedRequest> received;
   PeerServer server;
 };
@@ -118,7 +125,7 @@
 
   bool responds = true;
   std::string first_response;  // raw, to the first request; empty: as to the others
-  std::string first_line;  // of each watch; empty: nothing has changed
+  std::string first_line;      // of each watch; empty: nothing has changed
   std::vector<std::string> requests;
   PeerServer server;
 };
--- a/tests/platform/scheduler_test.cpp
+++ b/tests/platform/scheduler_test.cpp
@@ -168,21 +168,115 @@
   }
 }
 
-TEST_CASE("platform: a valid reply with excess data succeeds, but its connection is not reused") {
+// Guards against clients that get a part of an answer with status 200: the node's length was too small, and
+// the rest of the body behind it was dropped (docs/incidents/reply-cut-by-its-length.md).
+TEST_CASE("platform: a reply with a length that is less than its body is not served, but tried again") {
+  const auto with_length = [](std::size_t length, const std::string& body) {
+    return "HTTP/1.1 200 X\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n" + body;
+  };
+  const std::string small = "made for this request; the end";
+  // The declared end is also the end of the largest read, so that the rest of the body is still unread then.
+  std::string large(65536, 'x');
+  large.resize(large.size() - with_length(large.size(), "").size());
+  const std::string tail = "; the end";
+  struct Row {
+    const char* what;
+    std::string whole;
+    std::string cut;
+  };
+  const Row rows[] = {
+      {"9 bytes are missing", small, with_length(small.size() - 9, small)},
+      {"all is missing", small, with_length(0, small)},
+      {"the rest is still unread", large + tail, with_length(large.size(), large + tail)},
+      {"a second copy behind the rest", small,
+       with_length(small.size() - 9, small) + with_length(small.size() - 9, small)},
+  };
+  for (const Row& row : rows) {
+    for (const bool write : {false, true}) {
+      CAPTURE(row.what);
+      CAPTURE(write);
+      PlatformFixture fixture;
+      fixture.node0.first_replies = {row.cut};
+      fixture.node0.reply = test::http_reply(200, row.whole);
+      fixture.start();
+      auto& c = fixture.client();
+      std::string text = fixture.request("a", "Idempotency-Key: k\r\n");
+      if (write) text.replace(text.find("read"), 4, "write");
+      c.send(text);
+      REQUIRE(fixture.run_until([&] { return fixture.status(c) != 0; }));
+      fixture.run_for(0.05);
+      CHECK(fixture.status(c) == 200);
+      CHECK(fixture.body(c) == row.whole);
+      CHECK(outcome(fixture, Outcome::kError) == 1);
+      CHECK(fixture.scheduler->node_connections().counts().unexpected_data == 1);
+      REQUIRE(fixture.node0.received.size() == 2);
+      CHECK(fixture.node0.received[0].peer != fixture.node0.received[1].peer);
+      CHECK(fixture.node0.received[0].peer->closed);
+    }
+  }
+}
+
+TEST_CASE("platform: a reply with more than a second copy of itself behind it is an error") {
+  for (const char* more : {"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nother", "noise", "\r\n", "HTTP/1.1 2",
+                           "HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\nother",
+                           "HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\ndata"}) {
+    CAPTURE(more);
+    PlatformFixture fixture;
+    fixture.node0.reply = test::http_reply(200, "data") + more;
+    fixture.start();
+    auto& c = fixture.client();
+    c.send(fixture.request("a"));
+    REQUIRE(fixture.run_until([&] { return fixture.status(c) != 0; }));
+    CHECK(fixture.status(c) == 503);
+    CHECK(c.input.find("data") == std::string::npos);
+    CHECK(outcome(fixture, Outcome::kError) == fixture.scheduler->counts().dispatched);
+    CHECK(fixture.scheduler->node_connections().idle_connections() == 0);
+  }
+  // A rejection that cannot be trusted either may have executed.
+  PlatformFixture fixture;
+  fixture.node0.reply = test::http_reply(503, "full", "X-Rejected: 1\r\n") + "noise";
+  fixture.start();
+  CHECK(fixture.send_and_wait(fixture.request("a")) == 503);
+  CHECK(outcome(fixture, Outcome::kQueueFull) == 0);
+  CHECK(outcome(fixture, Outcome::kError) == fixture.scheduler->counts().dispatched);
+}
+
+TEST_CASE("platform: a reply with a second copy behind it succeeds, but its connection is not reused") {
+  const std::string reply = test::http_reply(200, "data", "Volume-Load: 3\r\n");
+  const std::string chunked = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndata\r\n0\r\n\r\n";
+  for (const auto& [first, second] :
+       {std::pair(reply, reply), std::pair(reply, reply.substr(0, reply.size() - 2)),
+        std::pair(reply, reply + reply), std::pair(chunked, chunked),
+        std::pair(chunked, chunked.substr(0, chunked.size() - 8))}) {
+    CAPTURE(second);
+    PlatformFixture fixture;
+    fixture.node0.reply = first + second;
+    fixture.start();
+    for (int i = 0; i < 2; ++i) {
+      auto& c = fixture.client();
+      c.send(fixture.request("a" + std::to_string(i)));
+      REQUIRE(fixture.run_until([&] { return fixture.status(c) != 0; }));
+      CHECK(fixture.status(c) == 200);
+      CHECK(fixture.body(c) == "data");
+    }
+    fixture.run_for(0.02);
+    CHECK(fixture.node0.server.peers.size() == 2);
+    CHECK(fixture.scheduler->node_connections().idle_connections() == 0);
+  }
+}
+
+TEST_CASE("platform: data that comes after a reply was passed on closes the connection") {
   for (const char* more : {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", "noise", "\r\n"}) {
     CAPTURE(more);
     PlatformFixture fixture;
     fixture.start();
-    SUBCASE("at once") { fixture.node0.reply = test::http_reply(200, "data") + more; }
-    SUBCASE("later") { fixture.node0.reply = test::http_reply(200, "data"); }
-    const bool later = fixture.node0.reply.size() < 60;
     for (int i = 0; i < 2; ++i) {
       auto& c = fixture.client();
       c.send(fixture.request("a" + std::to_string(i)));
       REQUIRE(fixture.run_until([&] { return fixture.status(c) != 0; }));
       CHECK(fixture.status(c) == 200);
       CHECK(fixture.body(c) == "data");
-      if (later) fixture.node0.received.back().peer->send(more);
+      fixture.node0.received.back().peer->send(more);
     }
     fixture.run_for(0.02);
     CHECK(fixture.node0.server.peers.size() == 2);
@@ -190,6 +284,25 @@
   }
 }
 
+TEST_CASE("platform: a reply with a length that is more than its body is not served") {
+  const std::string cut = "HTTP/1.1 200 X\r\nContent-Length: 13\r\n\r\ndata";
+  PlatformFixture fixture;
+  fixture.node0.first_replies = {cut};
+  fixture.start();
+  auto& c = fixture.client();
+  c.send(fixture.request("a"));
+  REQUIRE(fixture.run_until([&] { return fixture.node0.received.size() == 1; }));
+  int expected_status = 200;  // by a second dispatch
+  SUBCASE("the connection stays open") { expected_status = 503; }
+  SUBCASE("the connection ends in order") { fixture.node0.received[0].peer->stream.half_close(); }
+  SUBCASE("a second copy behind it") { fixture.node0.received[0].peer->send(cut); }
+  REQUIRE(fixture.run_until([&] { return fixture.status(c) != 0; }));
+  CHECK(fixture.status(c) == expected_status);
+  CHECK(fixture.body(c) == (expected_status == 200 ? "data" : ""));
+  CHECK(outcome(fixture, Outcome::kSucceeded) == (expected_status == 200 ? 1 : 0));
+  CHECK(fixture.node0.received.size() == (expected_status == 200 ? 2 : 1));
+}
+
 TEST_CASE("platform: an invalid request is answered with an error and reaches neither Control nor a node") {
   const auto replace = [](std::string text, const std::string& from, const std::string& to) {
     const auto at = text.find(from);
