--- a/src/control.cpp
+++ b/src/control.cpp
@@ -67,7 +67,7 @@
 constexpr double kTurnLength = 1.25;            // overload windows; each window meets one send phase only
 constexpr double kTurnSendPhase = 0.2;          // overload windows, from the start of a turn
 constexpr double kOverloadWindowMargin = 1.05;  // factor, as the clocks of hosts differ
-constexpr double kWarmupUsualFraction = 0.4;    // part of the capacity allotted by usual rate
+constexpr double kWarmupUsualFraction = 0.4;    // part of the capacity allotted by usual rate; work varies
 constexpr double kMinInitialCapacityShare = 0.01;
 
 // Requests for the endpoint list.
@@ -226,7 +226,7 @@
   Node& node = node_at(result.node);
   const bool succeeded = result.outcome == Outcome::kSucceeded;
   // A client may allow less time than the target latency. Its time-outs and late replies must not make nodes
-  // look bad to other clients.
+  // look bad to other clients. This may hide a bad node where no client allows enough time.
   const bool short_deadline = state.deadline - state.arrived_at <
                               settings_.profiles[to_index(state.transaction.profile)].target_latency;
   const bool timed_out_on_short_deadline = short_deadline && result.outcome == Outcome::kTimedOut;
@@ -245,7 +245,8 @@
   if (is_informative && (succeeded || result.outcome == Outcome::kTimedOut)) {
     // A timed-out dispatch would have taken longer than it was awaited. The value of one result is limited,
     // so that a large transaction, a pause of the node or a lost connection does not pass for a long queue;
-    // only consecutive bad results, as from a node that hangs, count in full.
+    // only consecutive bad results, as from a node that hangs, count in full. Values below the average count
+    // more for the same reason.
     const double max_latency =
         kMaxLatencyStep * std::max(node.latency, kDelayTargetFraction * min_target_latency_);
     const double measured =
@@ -263,7 +264,8 @@
   // Hundreds of schedulers that each send little can together overload a node. If results stay bad at the
   // probe interval already, each bad one widens the spacing of this scheduler's dispatches to the node, until
   // all schedulers together send about one per delay target. Only results of dispatches sent after the last
-  // change count. A fast reply ends the spacing.
+  // change count. A fast reply ends the spacing. A slow or hung node is spaced out in the same way, and where
+  // replies get lost, one spacing may be without need.
   if (is_informative && now - result.elapsed >= node.min_spacing_changed_at) {
     const double delay_target = kDelayTargetFraction * min_target_latency_;
     if (bad) {
@@ -527,7 +529,7 @@
   if (state.transaction.shard < 0) advance_rotation(node_index);
   // Dispatches held up by a connection or a partitioned network may reach the node seconds later, all at once
   // and together with a refilled bucket. Until they are known to have arrived, their units reduce the
-  // bucket's capacity.
+  // bucket's capacity. This may slow a volume whose nodes take longer to reply than its burst lasts.
   if (limited && state.dispatch_count == 0) {
     volume.limit_tokens -= state.transaction.units;
     volume.pending_limit_units += state.pending_limit_units = state.transaction.units;
@@ -739,13 +741,14 @@
 bool Control::has_capacity(double now, const Node& node, const TransactionState& state) const {
   if (node.in_flight >= kMaxConcurrency) return false;
   // Transactions beyond the reservation may use only part of the limit, to leave room for more beneficial
-  // ones of other schedulers.
+  // ones of other schedulers. Where no scheduler has such ones, that room is lost.
   const double limit_fraction = std::sqrt(state.benefit_fraction);
   if (now - node.last_dispatch_at < node.min_spacing / state.benefit_fraction) return false;
   const double delay_target = limit_fraction * kDelayTargetFraction * min_target_latency_;
   if (node.units_in_flight + state.transaction.units <= node.service_rate * delay_target) return true;
   // Even the minimum is too much if hundreds of schedulers use it. While the queueing delay is above target,
-  // it falls steeply; below one dispatch, it becomes a pause between dispatches.
+  // it falls steeply; below one dispatch, it becomes a pause between dispatches. A slow or a small node has
+  // the same effect, and so have a few very long transactions, without need.
   const double min_concurrency = limit_fraction * kMinConcurrency *
                                  std::pow(std::min(1.0, delay_target / std::max(node.queueing_delay, 1e-6)),
                                           kConcurrencyBackoffExponent);
@@ -771,6 +774,7 @@
   // Clocks differ between hosts: a node's start may lie in the future.
   const double progress = std::max(now - node.started_at, 0.0) / settings_.warmup_time;
   // Starts each process with a random fraction of one unit, so that the schedulers' first dispatches spread.
+  // Once for each process of the node: otherwise each call would draw tokens anew.
   if (node.warmup_started_at != node.started_at) {
     node.warmup_started_at = node.started_at;
     node.warmup_refilled_at = now;
@@ -790,7 +794,7 @@
   double units_sent = 0;
   for (const SentUnits& sent : node.warmup_sent) units_sent += sent.units;
   // A restarted scheduler does not know what it sent before, so it sends no safe units for one overload
-  // window to nodes that started before it.
+  // window to nodes that started before it. They may be missing in the first window after a start.
   if (node.started_at <= started_at_ && now < started_at_ + settings_.overload_window * kOverloadWindowMargin)
     return node.warmup_tokens;
   const int schedulers = std::max(settings_.scheduler_count, 1);
@@ -823,7 +827,7 @@
     volume.scheduler_count = schedulers;
     volume.client_timeouts.assign(settings_.profiles.size(), kInfinity);
     // A restarted scheduler does not know which tokens it spent before, so its buckets were empty at its
-    // start.
+    // start. This may hold work back in the first second after a start.
     volume.refilled_at = started_at_;
   }
   volume.scheduler_count = std::max(volume.scheduler_count, schedulers);
@@ -881,7 +885,8 @@
 }
 
 // Recognises by an overdue wake-up that this process was suspended. Arrivals handled now have waited for up
-// to the length of the stall, and the elapsed times of dispatches tell nothing about their nodes.
+// to the length of the stall, and the elapsed times of dispatches tell nothing about their nodes. What
+// arrives in time just then, from clients that allow little time, may suffer from it.
 void Control::detect_stall(double now) {
   if (now == stalled_at_ || now < next_wakeup_at_ + kStallThreshold) return;
   stalled_at_ = now;
--- a/src/gateway/admission_control.h
+++ b/src/gateway/admission_control.h
@@ -2,7 +2,8 @@
 //
 // A tenant that keeps its connections full must not exhaust a bound for the others. The first half of each
 // bound is open to all tenants. In the second half, a tenant is rejected once it has used its even share; the
-// shares are computed so that one is left for a tenant that has no open transaction yet.
+// shares are computed so that one is left for a tenant that has no open transaction yet. This also catches a
+// tenant whose node hangs; it may reject work of a tenant that is alone for the moment.
 #pragma once
 
 #include <algorithm>
--- a/src/nvme/host.cpp
+++ b/src/nvme/host.cpp
@@ -212,7 +212,7 @@
   // Whether `cid` belongs to an earlier command of its slot. Such PDUs are ignored up to a limit: ending the
   // connection would leave the outcome of all outstanding commands unknown. They cannot complete a newer
   // command, since identifiers are reused as late as possible: slots in turn, each with all of its
-  // generations.
+  // generations. A broken controller may stay unnoticed up to that limit.
   bool is_duplicate(std::uint16_t cid) {
     const Slot& slot = slots_[cid % slots_.size()];
     const auto generation = cid / slots_.size();
--- a/src/platform/client_server.h
+++ b/src/platform/client_server.h
@@ -79,7 +79,7 @@
   static constexpr double kLateStartSeconds = 0.4;
   // A client may send a request just as its idle connection is closed. A reset would not tell it whether the
   // request was processed. So the server half-closes and discards what arrives within this time; the client
-  // sees an orderly end without a reply and can retry.
+  // sees an orderly end without a reply and can retry. Each such connection holds a descriptor meanwhile.
   static constexpr double kIdleCloseLingerSeconds = 0.5;  // longer than a network transit and a loop stall
   // What a client still sends after an error reply is discarded for this long, so that no reset overtakes the
   // reply. kLateStartSeconds applies instead at the end of a drain.
--- a/src/platform/large_body_budget.h
+++ b/src/platform/large_body_budget.h
@@ -7,7 +7,8 @@
 namespace heronworks::platform {
 
 // Guards against running out of memory when many peers send large bodies at the same time. Only the bytes
-// beyond kSmallBodyBytes of each body count; smaller bodies are bounded by the number of connections.
+// beyond kSmallBodyBytes of each body count; smaller bodies are bounded by the number of connections. Large
+// bodies that come together are discarded beyond the budget.
 //
 // Call resize() whenever a body grows or is freed. If it returns false, the body must be discarded.
 class LargeBodyBudget {
--- a/src/platform/volume_index_table.h
+++ b/src/platform/volume_index_table.h
@@ -21,7 +21,8 @@
 // Assigns an index to each volume, at most kMaxVolumes of them, as clients may name a new volume with each
 // request. When the table is full, the least recently used volume is evicted if it has no open transaction
 // and has been unused for the retention period. The retention must be long enough for a token bucket to
-// refill, so that a volume that returns after its eviction has the same limit as before.
+// refill, so that a volume that returns after its eviction has the same limit as before. While all volumes
+// are in use, requests of new ones are rejected.
 //
 // Call acquire() when a transaction arrives and release() when the decision module has released it.
 class VolumeIndexTable {
