platform: the log tells which holder has the memory, and what the allocator keeps

Change: the line of each second has `memory`: anonymous memory as the system sees it, the heap's used and free bytes, and what is allocated for incomplete requests, input that is not consumed, open requests, output to nodes, incomplete replies and output to clients.

--- a/src/http/reader.cpp
+++ b/src/http/reader.cpp
@@ -147,6 +147,10 @@
   return done_ || !parser_ ? message_.body.size() : parser_->message.body.size();
 }
 
+std::size_t Reader::body_capacity() const {
+  return done_ || !parser_ ? message_.body.capacity() : parser_->message.body.capacity();
+}
+
 // Scans the bytes of the head that have not been scanned before. Returns true once the blank line at its end
 // is reached.
 bool Reader::scan_head(std::span<const std::uint8_t> bytes) {
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -56,6 +56,8 @@
   std::string take_body();
   // Body bytes held by this reader.
   std::size_t buffered_body_bytes() const;
+  // Memory allocated for the body.
+  std::size_t body_capacity() const;
 
  private:
   struct Parser;
--- a/src/loop/stream.h
+++ b/src/loop/stream.h
@@ -76,6 +76,9 @@
   bool open() const { return static_cast<bool>(fd_); }
   // Bytes queued but not yet written to the socket.
   std::size_t unsent() const { return write_buffer_.size() - write_offset_; }
+  // Memory allocated for received and for queued bytes.
+  std::size_t read_buffer_bytes() const { return read_buffer_.capacity(); }
+  std::size_t write_buffer_bytes() const { return write_buffer_.capacity(); }
   // Bytes written to the socket since the stream was created.
   std::uint64_t total_written() const { return total_written_; }
   // Bytes queued since the stream was created, written or not.
--- a/src/platform/client_server.cpp
+++ b/src/platform/client_server.cpp
@@ -137,6 +137,16 @@
   loop_.cancel(accept_timer_);
 }
 
+ClientServerMemory ClientServer::memory() const {
+  ClientServerMemory sum;
+  for (const auto& [id, client] : clients_) {
+    sum.incomplete_requests += client->reader.body_capacity();
+    sum.unconsumed_input += client->stream.read_buffer_bytes();
+    sum.unsent_replies += client->stream.write_buffer_bytes();
+  }
+  return sum;
+}
+
 void ClientServer::accept(Fd fd) {
   if (!descriptors_.acquire(DescriptorBudget::User::kClients) && !evict_idle_connection()) {
     ++counts_.no_descriptor;
--- a/src/platform/client_server.h
+++ b/src/platform/client_server.h
@@ -43,6 +43,13 @@
   std::uint64_t data_after_close = 0;  // those of closed_idle on which data arrived later; it was discarded
 };
 
+// Memory allocated for what clients have sent and what they have not read yet, in bytes.
+struct ClientServerMemory {
+  std::size_t incomplete_requests = 0;  // bodies
+  std::size_t unconsumed_input = 0;     // incomplete heads, and what was read behind an open request
+  std::size_t unsent_replies = 0;
+};
+
 // Accepts connections, reads requests and writes replies. One transaction is open at a time on each
 // connection; pipelined requests are answered in order. It does not interpret requests.
 class ClientServer {
@@ -58,6 +65,7 @@
   void drain(double accept_seconds, double serve_seconds, double end_seconds, std::function<void()> done);
   std::size_t connection_count() const { return clients_.size(); }
   const ClientServerCounts& counts() const { return counts_; }
+  ClientServerMemory memory() const;  // visits each connection
 
  private:
   struct Client;
--- a/src/platform/node_connection_pool.cpp
+++ b/src/platform/node_connection_pool.cpp
@@ -325,6 +325,18 @@
   return sum;
 }
 
+NodeConnectionPoolMemory NodeConnectionPool::memory() const {
+  NodeConnectionPoolMemory sum;
+  for (const Node& node : nodes_) {
+    for (const auto& [id, connection] : node.connections) {
+      sum.unsent_requests +=
+          connection->dispatch.request.capacity() + connection->stream.write_buffer_bytes();
+      sum.incomplete_replies += connection->reader.body_capacity() + connection->stream.read_buffer_bytes();
+    }
+  }
+  return sum;
+}
+
 void NodeConnectionPool::close_expired() {
   for (Node& n : nodes_) {
     while (!n.idle.empty() && n.idle.front().since + options_.idle_timeout <= loop_.now()) {
--- a/src/platform/node_connection_pool.h
+++ b/src/platform/node_connection_pool.h
@@ -43,6 +43,12 @@
   std::uint64_t cancelled = 0;        // dispatches not sent completely before their client closed
 };
 
+// Memory allocated for what is sent to nodes and received from them, in bytes.
+struct NodeConnectionPoolMemory {
+  std::size_t unsent_requests = 0;  // waiting for a connection, or queued on one
+  std::size_t incomplete_replies = 0;
+};
+
 // Sends each dispatch once, one at a time on each connection, and reports its outcome. Connections are reused
 // and closed when idle. The pool does not retry.
 class NodeConnectionPool {
@@ -70,6 +76,7 @@
   // Seconds for which a connection stays idle after a reply before it is reused.
   double reuse_delay() const { return reuse_delay_.seconds(loop_.now()); }
   const NodeConnectionPoolCounts& counts() const { return counts_; }
+  NodeConnectionPoolMemory memory() const;  // visits each connection
 
  private:
   struct Connection;
--- a/src/platform/scheduler.cpp
+++ b/src/platform/scheduler.cpp
@@ -5,6 +5,7 @@
 #include <cstring>
 #include <fstream>
 
+#include "host/process_memory.h"
 #include "http/writer.h"
 #include "number.h"
 
@@ -331,6 +332,24 @@
   control_->update_nodes(now(), UpdateKind::kFailed, {});
 }
 
+// What holds the memory, in bytes. `heap_free` was freed, but not returned to the operating system.
+nlohmann::json Scheduler::memory_by_holder() const {
+  std::size_t open_requests = 0;
+  for (const Slot& slot : slots_) open_requests += slot.request.body.capacity();
+  const ClientServerMemory clients = client_server_->memory();
+  const NodeConnectionPoolMemory nodes = node_connections_->memory();
+  const HeapUse heap = process_heap_use();
+  return {{"anonymous", process_anonymous_bytes()},
+          {"heap_used", heap.used},
+          {"heap_free", heap.free},
+          {"incomplete_requests", clients.incomplete_requests},
+          {"unconsumed_input", clients.unconsumed_input},
+          {"open_requests", open_requests},
+          {"unsent_to_nodes", nodes.unsent_requests},
+          {"incomplete_replies", nodes.incomplete_replies},
+          {"unsent_to_clients", clients.unsent_replies}};
+}
+
 void Scheduler::log_counts() {
   const auto since = [&](auto field) { return counts_.*field - logged_counts_.*field; };
   const ClientServerCounts& c = client_server_->counts();
@@ -364,6 +383,7 @@
              {"stale", n.stale - logged_node_counts_.stale},
              {"spoilt", n.invalid_replies - logged_node_counts_.invalid_replies},
              {"surplus", n.unexpected_data - logged_node_counts_.unexpected_data},
+             {"memory", memory_by_holder()},
              {"long_bytes", request_bodies_.bytes_in_use() + reply_bodies_.bytes_in_use()},
              {"no_descriptor", n.no_descriptor - logged_node_counts_.no_descriptor},
              {"taken_back", n.cancelled - logged_node_counts_.cancelled},
--- a/src/platform/scheduler.h
+++ b/src/platform/scheduler.h
@@ -98,6 +98,7 @@
   void reply(Slot& slot, ClientReply reply);
   std::vector<NodeEntry> update_node_table(const std::vector<Endpoint>& endpoints, bool is_full);
   void apply_update(const EndpointUpdate& update, UpdateKind kind);
+  nlohmann::json memory_by_holder() const;
   void log_counts();
 
   Loop& loop_;
