Memory of requests and buffers is freed where an object is reset

Cause: `x = {}` keeps the capacity of a string, and picks the initializer_list assignment of a vector, which keeps it too. Change: release_memory() in these places: slots, streams, dispatches, the HTTP reader, the line of a watch, and the NVMe host's read data and delayed responses. Scheduler::memory() gives the figures of the log to tests.

--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <stdexcept>
 
+#include "release_memory.h"
+
 namespace heronworks::gateway {
 namespace {
 
@@ -417,7 +419,7 @@
     if (response.hold_until <= loop_.now()) {
       target_->complete(response.connection, response.cid, nvme::status::kOk, response.result, response.data);
       response.sent = true;
-      response.data = {};
+      release_memory(response.data);
       ++counts_.answered_before_durable;
     } else {
       next = std::min(next, response.hold_until);
--- a/src/host/slot_table.h
+++ b/src/host/slot_table.h
@@ -4,6 +4,8 @@
 #include <cstddef>
 #include <vector>
 
+#include "release_memory.h"
+
 namespace heronworks {
 
 // Stores per-transaction state from arrival until the decision module releases the transaction. The table
@@ -22,7 +24,7 @@
     return index;
   }
   void release(int index) {
-    (*this)[index] = Slot{};
+    release_memory((*this)[index]);
     free_.push_back(index);
   }
   Slot& operator[](int index) { return slots_[static_cast<std::size_t>(index)]; }
--- a/src/http/reader.cpp
+++ b/src/http/reader.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 
+#include "release_memory.h"
+
 namespace heronworks::http {
 namespace {
 
@@ -128,7 +130,7 @@
 
 void Reader::reset() {
   parser_.reset();
-  message_ = {};
+  release_memory(message_);
   scanned_ = 0;
   line_length_ = 0;
   last_byte_ = 0;
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -7,6 +7,8 @@
 #include <cerrno>
 #include <cstring>
 
+#include "release_memory.h"
+
 namespace heronworks {
 namespace {
 
@@ -77,7 +79,7 @@
   if (unsent() == 0) {
     write_buffer_.clear();
     write_offset_ = 0;
-    if (limits_.free_when_empty) write_buffer_ = {};
+    if (limits_.free_when_empty) release_memory(write_buffer_);
     if (std::exchange(half_close_pending_, false)) ::shutdown(fd_.get(), SHUT_WR);
   } else if (write_offset_ > kWriteBufferCompactionBytes) {
     write_buffer_.erase(write_buffer_.begin(),
@@ -117,10 +119,10 @@
 void Stream::free_empty_buffers() {
   if (!limits_.free_when_empty) return;
   if (unconsumed_ == 0) {
-    read_buffer_ = {};
+    release_memory(read_buffer_);
     read_size_ = kInitialReadBytes;
   }
-  if (write_buffer_.empty()) write_buffer_ = {};
+  if (write_buffer_.empty()) release_memory(write_buffer_);
 }
 
 void Stream::half_close() {
--- a/src/nvme/host.cpp
+++ b/src/nvme/host.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "release_memory.h"
+
 namespace heronworks::nvme {
 namespace {
 
@@ -78,7 +80,7 @@
       if (!slot.in_use || slot.token != token) continue;
       slot.cancelled = true;
       slot.write_data.reset();
-      slot.read_data = {};
+      release_memory(slot.read_data);
       return;
     }
   }
--- a/src/platform/discovery_client.cpp
+++ b/src/platform/discovery_client.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "http/writer.h"
+#include "release_memory.h"
 
 namespace heronworks::platform {
 namespace {
@@ -35,7 +36,7 @@
 void DiscoveryClient::watch() {
   stop();
   reader_ = http::Reader(http::MessageKind::kResponse, kWatchLimits);
-  line_.clear();
+  release_memory(line_);
   partial_.reset();
   first_line_received_ = false;
   Fd fd = connect_to(options_.address);
--- a/src/platform/node_connection_pool.cpp
+++ b/src/platform/node_connection_pool.cpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "platform/reply_outcome.h"
+#include "release_memory.h"
 
 namespace heronworks::platform {
 namespace {
@@ -43,7 +44,7 @@
         field.end());
     request_end = stream.total_queued() + dispatch.request.size();
     stream.send(dispatch.request);
-    dispatch.request = {};
+    release_memory(dispatch.request);
   }
 
   void on_connected() override {
--- a/src/platform/scheduler.cpp
+++ b/src/platform/scheduler.cpp
@@ -8,6 +8,7 @@
 #include "host/process_memory.h"
 #include "http/writer.h"
 #include "number.h"
+#include "release_memory.h"
 
 namespace heronworks::platform {
 namespace {
@@ -55,6 +56,20 @@
   return {1e-9 * used, 1e-9 * waited};
 }
 
+// What holds the memory, in bytes. `heap_free` was freed, but not returned to the operating system.
+nlohmann::json memory_fields(const SchedulerMemory& memory) {
+  const HeapUse heap = process_heap_use();
+  return {{"anonymous", process_anonymous_bytes()},
+          {"heap_used", heap.used},
+          {"heap_free", heap.free},
+          {"incomplete_requests", memory.clients.incomplete_requests},
+          {"unconsumed_input", memory.clients.unconsumed_input},
+          {"open_requests", memory.open_requests},
+          {"unsent_to_nodes", memory.nodes.unsent_requests},
+          {"incomplete_replies", memory.nodes.incomplete_replies},
+          {"unsent_to_clients", memory.clients.unsent_replies}};
+}
+
 }  // namespace
 
 Scheduler::Scheduler(Loop& loop, Config config, Log& log)
@@ -189,7 +204,7 @@
   by_client_.erase(found);
   by_call_id_.erase(slot.call_id);
   slot.answered = true;
-  slot.request = {};
+  release_memory(slot.request);
   const int node = slot.node;
   ++counts_.abandoned;
   control_->transaction_abandoned(now(), id);
@@ -203,7 +218,7 @@
 void Scheduler::reply(Slot& slot, ClientReply reply) {
   if (slot.answered) return;
   slot.answered = true;
-  slot.request = {};
+  release_memory(slot.request);
   by_client_.erase(slot.client);
   by_call_id_.erase(slot.call_id);
   client_server_->reply(slot.client, std::move(reply));
@@ -332,22 +347,10 @@
   control_->update_nodes(now(), UpdateKind::kFailed, {});
 }
 
-// What holds the memory, in bytes. `heap_free` was freed, but not returned to the operating system.
-nlohmann::json Scheduler::memory_by_holder() const {
-  std::size_t open_requests = 0;
-  for (const Slot& slot : slots_) open_requests += slot.request.body.capacity();
-  const ClientServerMemory clients = client_server_->memory();
-  const NodeConnectionPoolMemory nodes = node_connections_->memory();
-  const HeapUse heap = process_heap_use();
-  return {{"anonymous", process_anonymous_bytes()},
-          {"heap_used", heap.used},
-          {"heap_free", heap.free},
-          {"incomplete_requests", clients.incomplete_requests},
-          {"unconsumed_input", clients.unconsumed_input},
-          {"open_requests", open_requests},
-          {"unsent_to_nodes", nodes.unsent_requests},
-          {"incomplete_replies", nodes.incomplete_replies},
-          {"unsent_to_clients", clients.unsent_replies}};
+SchedulerMemory Scheduler::memory() const {
+  SchedulerMemory sum{0, client_server_->memory(), node_connections_->memory()};
+  for (const Slot& slot : slots_) sum.open_requests += slot.request.body.capacity();
+  return sum;
 }
 
 void Scheduler::log_counts() {
@@ -383,7 +386,7 @@
              {"stale", n.stale - logged_node_counts_.stale},
              {"spoilt", n.invalid_replies - logged_node_counts_.invalid_replies},
              {"surplus", n.unexpected_data - logged_node_counts_.unexpected_data},
-             {"memory", memory_by_holder()},
+             {"memory", memory_fields(memory())},
              {"long_bytes", request_bodies_.bytes_in_use() + reply_bodies_.bytes_in_use()},
              {"no_descriptor", n.no_descriptor - logged_node_counts_.no_descriptor},
              {"taken_back", n.cancelled - logged_node_counts_.cancelled},
--- a/src/platform/scheduler.h
+++ b/src/platform/scheduler.h
@@ -31,6 +31,13 @@
   std::uint64_t outcomes[8] = {};           // of dispatches, by Outcome
 };
 
+// Memory allocated for peers, in bytes.
+struct SchedulerMemory {
+  std::size_t open_requests = 0;  // bodies, until they are answered
+  ClientServerMemory clients;
+  NodeConnectionPoolMemory nodes;
+};
+
 // CPU time of the process since its start, in seconds.
 struct CpuTime {
   double used = 0;
@@ -53,6 +60,7 @@
   const ClientServer& client_server() const { return *client_server_; }
   const NodeConnectionPool& node_connections() const { return *node_connections_; }
   std::size_t open_transactions() const { return slots_.in_use(); }
+  SchedulerMemory memory() const;  // visits each transaction and connection
   std::size_t node_count() const { return node_indices_.size(); }
 
   // Serves clients for a while longer, answers all requests, then calls `done`.
@@ -98,7 +106,6 @@
   void reply(Slot& slot, ClientReply reply);
   std::vector<NodeEntry> update_node_table(const std::vector<Endpoint>& endpoints, bool is_full);
   void apply_update(const EndpointUpdate& update, UpdateKind kind);
-  nlohmann::json memory_by_holder() const;
   void log_counts();
 
   Loop& loop_;
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -213,6 +213,13 @@
            "\r\nX-Call-Class: read\r\nTier: gold\r\nX-Budget-Ms: 1000\r\nIO-Info: units=2,shard=" +
            std::to_string(shard) + ",hosts=1\r\n" + fields + "\r\n";
   }
+  static std::string write(const std::string& call_id, const std::string& body) {
+    return "PUT /api/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: app\r\nX-Call-Id: " + call_id +
+           "\r\nX-Call-Class: write\r\nTier: gold\r\nX-Budget-Ms: 1000\r\nIO-Info: "
+           "units=2,shard=0,hosts=1\r\n" +
+           "Idempotency-Key: k" + call_id + "\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  }
   // The status of the first reply on the connection; 0: none yet.
   static int status(const Peer& peer) {
     return peer.input.size() < 12 ? 0 : std::atoi(peer.input.c_str() + 9);
