platform: memory that was freed is returned to the operating system

Seen: after a burst of bad clients has left, the process keeps up to 17.1 MB of a peak of 23.7; 12.1 of 12.7 at 48 MB. Cause: freed blocks stay in the heap below blocks that are in use, and the allocator stops giving large blocks mappings of their own once it has seen one freed. Change: the size from which a block has its own mapping is fixed (128 KiB). Once a second the heap's free pages are returned if over 0.06 of memory_mb is anonymous memory that is not in use (MemoryBudget::retains_too_much).

--- a/src/host/process_memory.cpp
+++ b/src/host/process_memory.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t kBytesPerKilobyte = 1024;
+constexpr int kMinMappedBlockBytes = 128 << 10;
 
 }  // namespace
 
@@ -28,4 +29,8 @@
   return {info.uordblks + info.hblkhd, info.fordblks};
 }
 
+void configure_allocator() { mallopt(M_MMAP_THRESHOLD, kMinMappedBlockBytes); }
+
+void return_free_memory() { malloc_trim(0); }
+
 }  // namespace heronworks
--- a/src/platform/memory_budget.cpp
+++ b/src/platform/memory_budget.cpp
@@ -10,10 +10,9 @@
 }  // namespace
 
 MemoryBudget::MemoryBudget(double memory_bytes, std::size_t max_connections)
-    : requests_(make_part(kRequestFraction * (memory_bytes > 0 ? memory_bytes : kDefaultMemoryBytes),
-                          max_connections)),
-      replies_(make_part(kReplyFraction * (memory_bytes > 0 ? memory_bytes : kDefaultMemoryBytes),
-                         max_connections)) {}
+    : memory_bytes_(memory_bytes > 0 ? memory_bytes : kDefaultMemoryBytes),
+      requests_(make_part(kRequestFraction * memory_bytes_, max_connections)),
+      replies_(make_part(kReplyFraction * memory_bytes_, max_connections)) {}
 
 MemoryBudget::Part MemoryBudget::make_part(double bytes, std::size_t max_connections) {
   Part part;
--- a/src/platform/memory_budget.h
+++ b/src/platform/memory_budget.h
@@ -26,8 +26,9 @@
   static constexpr std::size_t kMaxBodyBytes = std::size_t{1} << 20;
   static constexpr double kRequestFraction = 0.3;  // of the process's memory
   static constexpr double kReplyFraction = 0.2;
-  static constexpr double kSmallFraction = 0.3;       // of either part
-  static constexpr double kReadAheadFraction = 0.25;  // of the requests' part, at most
+  static constexpr double kSmallFraction = 0.3;         // of either part
+  static constexpr double kReadAheadFraction = 0.25;    // of the requests' part, at most
+  static constexpr double kMaxRetainedFraction = 0.06;  // of the process's memory, freed but not returned
   static constexpr double kDefaultMemoryBytes = 128 * 1024.0 * 1024.0;
   static constexpr std::size_t kMinPartBytes = 2 * kMaxBodyBytes;  // fits a message of any legal size
 
@@ -44,6 +45,12 @@
   // Of the part that `use` belongs to.
   std::size_t limit(MemoryUse use) const { return part_of(use).limit; }
   std::size_t small_bytes(MemoryUse use) const { return part_of(use).small; }
+  // Whether freed memory should be returned to the operating system: the process has `anonymous` bytes of it,
+  // of which `allocated` are in use.
+  bool retains_too_much(std::size_t anonymous, std::size_t allocated) const {
+    return static_cast<double>(anonymous) >
+           static_cast<double>(allocated) + kMaxRetainedFraction * memory_bytes_;
+  }
   // The use's part is used up, also for small holders.
   bool exhausted(MemoryUse use) const { return part_in_use(use) >= limit(use); }
 
@@ -57,6 +64,7 @@
   const Part& part_of(MemoryUse use) const { return use == MemoryUse::kReply ? replies_ : requests_; }
   std::size_t part_in_use(MemoryUse use) const;
 
+  const double memory_bytes_;
   const Part requests_;
   const Part replies_;
   std::array<std::size_t, 3> in_use_{};  // by MemoryUse
--- a/src/platform/scheduler.cpp
+++ b/src/platform/scheduler.cpp
@@ -366,6 +366,7 @@
 }
 
 void Scheduler::log_counts() {
+  if (memory_.retains_too_much(process_anonymous_bytes(), process_heap_use().used)) return_free_memory();
   const auto since = [&](auto field) { return counts_.*field - logged_counts_.*field; };
   const ClientServerCounts& c = client_server_->counts();
   const NodeConnectionPoolCounts& n = node_connections_->counts();
--- a/tests/platform/memory_process_test.cpp
+++ b/tests/platform/memory_process_test.cpp
@@ -19,7 +19,9 @@
 
 constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
 constexpr double kMaxMemoryFraction = 0.8;
+constexpr double kMaxRetainedFraction = 0.1;  // of memory_mb, after all clients have left
 constexpr double kPlaySeconds = 3;
+constexpr double kRestSeconds = 2.5;
 constexpr double kServiceSeconds = 0.05;
 constexpr double kAnswerSeconds = 2.5;  // the client's time and the slack of an answer
 constexpr std::size_t kBodyBytes = 65536;
@@ -80,7 +82,9 @@
 };
 
 struct Result {
+  double megabytes_at_rest = 0;
   double most_megabytes = 0;
+  double megabytes_after = 0;
   int answered = 0;
   int served = 0;
   int unanswered = 0;
@@ -113,6 +117,7 @@
 
   Result run() {
     wait_until_ready();
+    result_.megabytes_at_rest = process_->anonymous_megabytes();
     for (int i = 0; i < kOrdinaryClients; ++i) {
       ordinary_.push_back({});
       connect(ordinary_.back());
@@ -124,6 +129,10 @@
       loop_.run_once(0.005);
       result_.most_megabytes = std::max(result_.most_megabytes, process_->anonymous_megabytes());
     }
+    bad_.clear();
+    ordinary_.clear();
+    for (const double until = clock_.now() + kRestSeconds; clock_.now() < until;) loop_.run_once(0.05);
+    result_.megabytes_after = process_->anonymous_megabytes();
     result_.ran_to_the_end = process_->running();
     return result_;
   }
@@ -239,18 +248,21 @@
 TEST_CASE("anonymous memory stays under 0.8 of memory_mb while a third of the descriptors misbehave") {
   REQUIRE(std::getenv("HERONWORKS") != nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  std::printf("memory_mb descriptors most_mb bad_clients answered served unanswered\n");
+  std::printf("memory_mb descriptors most_mb after_mb bad_clients answered served unanswered\n");
   std::fflush(stdout);
   for (const int memory_mb : {32, 48, 96, 192}) {
     for (const int descriptors : {256, 512, 1024}) {
       CAPTURE(memory_mb);
       CAPTURE(descriptors);
       const Result result = Play(memory_mb, descriptors).run();
-      std::printf("%9d %11d %7.1f %11d %8d %6d %10d\n", memory_mb, descriptors, result.most_megabytes,
-                  result.bad_clients, result.answered, result.served, result.unanswered);
+      std::printf("%9d %11d %7.1f %8.1f %11d %8d %6d %10d\n", memory_mb, descriptors, result.most_megabytes,
+                  result.megabytes_after, result.bad_clients, result.answered, result.served,
+                  result.unanswered);
       std::fflush(stdout);
       CHECK(result.ran_to_the_end);
       CHECK(result.most_megabytes < kMaxMemoryFraction * memory_mb);
+      // Memory that was freed goes back to the operating system.
+      CHECK(result.megabytes_after < result.megabytes_at_rest + kMaxRetainedFraction * memory_mb);
       CHECK(result.unanswered == 0);
       CHECK(result.answered > 0);
     }
