bench-platform: what a request costs by the size of its body; large blocks come from the heap again

Cause: make bench had no figure of the whole path through the platform's front, and a budget costs something on each request. Change: the benchmark takes the program to measure, so pairs need no second copy of it. The fixed size for mappings goes; the heap's free pages are returned once a second as before.

--- a/bench/run.sh
+++ b/bench/run.sh
@@ -7,3 +7,4 @@
 ./bench-ledger 200000
 ./bench-tenants
 ./bench-connections
+./bench-platform ./heronworks
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -4,7 +4,6 @@
 #include <cstdio>
 #include <cstdlib>
 
-#include "host/process_memory.h"
 #include "platform/scheduler.h"
 
 namespace heronworks::platform {
@@ -21,7 +20,6 @@
   for (const int s : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&handled_signals, s);
   sigprocmask(SIG_BLOCK, &handled_signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  configure_allocator();
   const Environment environment = [](const char* name) { return std::getenv(name); };
   Config config;
   try {
