--- a/src/host/process_memory.cpp
+++ b/src/host/process_memory.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr std::size_t kBytesPerKilobyte = 1024;
-constexpr int kMinMappedBlockBytes = 128 << 10;
 
 }  // namespace
 
@@ -29,8 +28,6 @@
   return {info.uordblks + info.hblkhd, info.fordblks};
 }
 
-void configure_allocator() { mallopt(M_MMAP_THRESHOLD, kMinMappedBlockBytes); }
-
 void return_free_memory() { malloc_trim(0); }
 
 }  // namespace heronworks
--- a/src/host/process_memory.h
+++ b/src/host/process_memory.h
@@ -15,10 +15,6 @@
 
 HeapUse process_heap_use();
 
-// Gives large blocks mappings of their own, so that freeing one returns its memory whatever is allocated
-// beside it. Without this call the allocator stops doing so for the sizes that it has seen freed.
-void configure_allocator();
-
 // Returns memory that was freed to the operating system. Visits the whole heap.
 void return_free_memory();
 
