platform: a wait for memory counts against the request that waited only

Seen: after a request that was left unread for a while, the next one on its connection is answered 504 though its client has all its time left (new check in "for lack of memory incomplete requests are rejected ...": 504 where 200 is due). Cause: bytes left unread keep the time at which they arrived until the receive buffer is seen empty. A body is read to its last byte and no further, so the read never came back short, and the time stayed for whatever came later. Change: where such a time is kept, the kernel is asked whether anything is still unread.

--- a/src/platform/client_server.cpp
+++ b/src/platform/client_server.cpp
@@ -77,8 +77,8 @@
     if (state == State::kLingering) return bytes.size();
     const bool behind_open_request = !reads_request();
     read_ahead.set(behind_open_request ? bytes.size() - used : 0);
-    const bool unread = (behind_open_request && used < bytes.size()) ||
-                        (unread_since > 0 && !stream.receive_buffer_drained());
+    const bool unread =
+        (behind_open_request && used < bytes.size()) || (unread_since > 0 && stream.has_unread_bytes());
     unread_since = unread ? received_at : 0;
     return used;
   }
