--- a/review/lib-2/harness.h
+++ b/review/lib-2/harness.h
@@ -16,6 +16,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
@@ -378,6 +379,7 @@
   Scheduler& operator=(const Scheduler&) = delete;
 
   int port() const { return port_; }
+  int process() const { return pid_; }
   void signal(int number) const { ::kill(pid_, number); }
   bool running() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
   void end() {
