--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::size_t kMaxEventsPerPoll = 256;  // further events are reported by the next poll
 constexpr double kMaxWaitSeconds = 3600;
+// A message of the largest size is read in fewer; a backlog of 1,024 connections is accepted in fewer.
+constexpr int kMaxPollsPerDelivery = 64;
+constexpr int kMaxDeliveriesPerIteration = 1024;  // then timers and other connections have their turn
 constexpr std::size_t kMinTimerHeapToCompact = 64;
 constexpr std::uint32_t kSignalGeneration = 0;  // of the signal pipe; watched descriptors start at 1
 
@@ -39,7 +42,11 @@
 }  // namespace
 
 Loop::Loop(const Clock& clock)
-    : clock_(clock), iteration_time_(clock.now()), last_poll_time_(iteration_time_) {
+    : clock_(clock),
+      poll_arrival_time_(wall_clock_nanoseconds()),
+      previous_poll_arrival_time_(poll_arrival_time_),
+      iteration_time_(clock.now()),
+      last_poll_time_(iteration_time_) {
   int pipe_ends[2];
   if (::pipe2(pipe_ends, O_NONBLOCK | O_CLOEXEC) != 0) {
     throw std::runtime_error("cannot create the signal pipe");
@@ -148,52 +155,93 @@
     timer_heap_.pop_back();
   }
   if (!timer_heap_.empty()) max_wait = std::clamp(timer_heap_.front().time - clock_.now(), 0.0, max_wait);
+  if (!arrivals_.empty()) max_wait = 0;
   std::array<epoll_event, kMaxEventsPerPoll> events;
   const int ready = poll(max_wait, events);
   if (ready < 0) return;  // interrupted by a signal
+  note_poll();
+  handle_events(std::span(events).first(static_cast<std::size_t>(ready)));
+  deliver_arrivals();
+  run_timers();
+}
+
+void Loop::note_poll() {
   iteration_time_ = clock_.now();
+  previous_poll_arrival_time_ = std::exchange(poll_arrival_time_, wall_clock_nanoseconds());
   const double previous_poll_time = std::exchange(last_poll_time_, iteration_time_);
-  if (iteration_time_ - previous_poll_time > kStallSeconds) {
-    if (iteration_time_ > stall_detected_at_ + kStallRecoverySeconds) {
-      last_poll_before_stall_ = previous_poll_time;
-    }
-    stall_detected_at_ = iteration_time_;
+  if (iteration_time_ - previous_poll_time <= kStallSeconds) return;
+  if (iteration_time_ > stall_detected_at_ + kStallRecoverySeconds)
+    last_poll_before_stall_ = previous_poll_time;
+  stall_detected_at_ = iteration_time_;
+}
+
+void Loop::handle_events(std::span<const epoll_event> events) {
+  for (const epoll_event& event : events) {
+    handle_event(event);
+    run_deferred();
+  }
+}
+
+void Loop::handle_signals() {
+  unsigned char signals[64];
+  const auto n = ::read(signal_read_.get(), signals, sizeof signals);
+  for (ssize_t i = 0; i < n; ++i) {
+    if (const auto found = signal_actions_.find(signals[i]); found != signal_actions_.end()) found->second();
+  }
+}
+
+void Loop::handle_event(const epoll_event& event) {
+  const int fd = static_cast<int>(event.data.u64 & 0xffffffff);
+  const auto generation = static_cast<std::uint32_t>(event.data.u64 >> 32);
+  if (generation == kSignalGeneration) return handle_signals();
+  // Callbacks may watch and unwatch descriptors, so the registration is looked up before each of them.
+  const auto current_handler = [&]() -> PollHandler* {
+    const auto found = registrations_.find(fd);
+    return found != registrations_.end() && found->second.generation == generation ? found->second.handler
+                                                                                   : nullptr;
+  };
+  if (event.events & EPOLLIN) {
+    if (PollHandler* handler = current_handler()) handler->on_readable();
+  }
+  if (event.events & EPOLLOUT) {
+    if (PollHandler* handler = current_handler()) handler->on_writable();
+  }
+  if ((event.events & EPOLLRDHUP) && !(event.events & EPOLLIN)) {
+    if (PollHandler* handler = current_handler()) handler->on_peer_shutdown();
   }
-  for (const epoll_event& event : std::span(events).first(static_cast<std::size_t>(ready))) {
-    const int fd = static_cast<int>(event.data.u64 & 0xffffffff);
-    const auto generation = static_cast<std::uint32_t>(event.data.u64 >> 32);
-    if (generation == kSignalGeneration) {
-      unsigned char signals[64];
-      const auto n = ::read(fd, signals, sizeof signals);
-      for (ssize_t i = 0; i < n; ++i) {
-        if (const auto found = signal_actions_.find(signals[i]); found != signal_actions_.end()) {
-          found->second();
-        }
-      }
-      run_deferred();
-      continue;
-    }
-    // Callbacks may watch and unwatch descriptors, so the registration is looked up before each of them.
-    const auto current_handler = [&]() -> PollHandler* {
-      const auto found = registrations_.find(fd);
-      return found != registrations_.end() && found->second.generation == generation ? found->second.handler
-                                                                                     : nullptr;
-    };
-    if (event.events & EPOLLIN) {
-      if (PollHandler* handler = current_handler()) handler->on_readable();
-    }
-    if (event.events & EPOLLOUT) {
-      if (PollHandler* handler = current_handler()) handler->on_writable();
-    }
-    if ((event.events & EPOLLRDHUP) && !(event.events & EPOLLIN)) {
-      if (PollHandler* handler = current_handler()) handler->on_peer_shutdown();
-    }
-    if ((event.events & (EPOLLERR | EPOLLHUP)) && !(event.events & EPOLLIN)) {
-      if (PollHandler* handler = current_handler()) handler->on_hangup();
-    }
+  if ((event.events & (EPOLLERR | EPOLLHUP)) && !(event.events & EPOLLIN)) {
+    if (PollHandler* handler = current_handler()) handler->on_hangup();
+  }
+}
+
+// Reads on until whatever arrived up to arrival_limit_ has been read. A poll reports a part of the ready
+// descriptors, beginning behind those that the previous one reported.
+void Loop::read_earlier_arrivals() {
+  std::array<epoll_event, kMaxEventsPerPoll> events;
+  std::size_t reported = 0;
+  for (int i = 0; i < kMaxPollsPerDelivery; ++i) {
+    unread_arrivals_ = false;
+    const int ready = poll(0, events);
+    if (ready == 0) return;
+    if (ready < 0) continue;  // interrupted by a signal
+    handle_events(std::span(events).first(static_cast<std::size_t>(ready)));
+    reported += static_cast<std::size_t>(ready);
+    const bool all_reported = ready < static_cast<int>(events.size()) || reported > registrations_.size();
+    if (all_reported && !unread_arrivals_) return;
+  }
+}
+
+// What is held now arrived before the polls that follow, and so did everything that arrived before it.
+void Loop::deliver_arrivals() {
+  if (arrivals_.empty()) return;
+  arrival_limit_ = arrivals_.latest();
+  read_earlier_arrivals();
+  for (int i = 0; i < kMaxDeliveriesPerIteration; ++i) {
+    if (arrivals_.empty() || arrivals_.earliest() > arrival_limit_) return;
+    const ArrivalQueue::Arrival arrival = arrivals_.pop();
+    arrival.handler->on_arrival(arrival.id);
     run_deferred();
   }
-  run_timers();
 }
 
 }  // namespace heronworks
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "loop/arrival_queue.h"
 #include "loop/clock.h"
 #include "loop/fd.h"
 
@@ -60,6 +61,21 @@
   static constexpr double kStallSeconds = 0.05;          // longer than a normal iteration takes
   static constexpr double kStallRecoverySeconds = 0.05;  // time for peers to drain their send buffers
 
+  // Passes `id` to the handler once everything that arrived earlier has been read, in the order of `time`:
+  // after all descriptors that are ready now, and connections that wait to be accepted, have been read at
+  // least up to that time. At most one iteration later.
+  void deliver_in_order(ArrivalTime time, ArrivalHandler& handler, std::uint64_t id) {
+    arrivals_.push(time, handler, id);
+  }
+  // The handler gets none of what it waits for. To be called before it is destroyed.
+  void cancel_deliveries(const ArrivalHandler& handler) { arrivals_.remove(handler); }
+  // A connection was accepted, or a read that reached `time` left bytes unread: what else is there may have
+  // arrived earlier than what waits for its delivery.
+  void connection_accepted() { unread_arrivals_ = true; }
+  void bytes_left_unread(ArrivalTime time) { unread_arrivals_ = unread_arrivals_ || time <= arrival_limit_; }
+  // A lower bound for the arrival of what this iteration reads, for bytes without a receive timestamp.
+  ArrivalTime previous_poll_arrival_time() const { return previous_poll_arrival_time_; }
+
   // Starts to watch for reads. Throws std::runtime_error if epoll refuses the descriptor. Must be undone by
   // unwatch() before the descriptor is closed. May be called from callbacks, as may the next two.
   void watch(int fd, PollHandler& handler);
@@ -105,6 +121,12 @@
   };
 
   int poll(double max_wait, std::span<epoll_event> events);
+  void handle_events(std::span<const epoll_event> events);
+  void handle_event(const epoll_event& event);
+  void handle_signals();
+  void note_poll();
+  void read_earlier_arrivals();
+  void deliver_arrivals();
 
   void run_deferred();
   void run_timers();
@@ -119,6 +141,11 @@
   TimerId last_timer_ = 0;
   std::vector<std::uint8_t> scratch_ = std::vector<std::uint8_t>(std::size_t{64} << 10);
   std::vector<Action> deferred_;
+  ArrivalQueue arrivals_;  // at most one for each request that the handlers hold
+  ArrivalTime arrival_limit_ = 0;
+  bool unread_arrivals_ = false;
+  ArrivalTime poll_arrival_time_;
+  ArrivalTime previous_poll_arrival_time_;
   std::unordered_map<int, Action> signal_actions_;
   Fd signal_read_;
   Fd signal_write_;
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -1,11 +1,14 @@
 #include "loop/stream.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <optional>
 
 #include "release_memory.h"
 
@@ -19,6 +22,37 @@
 constexpr std::size_t kSpareCapacityDivisor = 8;
 
 constexpr const char* kTooManyUnconsumed = "unconsumed bytes exceed the buffer limit";
+constexpr double kSecondsPerNanosecond = 1e-9;
+constexpr std::int64_t kNanosecondsPerSecond = 1'000'000'000;
+
+bool request_receive_timestamps(int fd) {
+  const int on = 1;
+  return setsockopt(fd, SOL_SOCKET, SO_TIMESTAMPNS, &on, sizeof on) == 0;
+}
+
+// A message that is received with its timestamp.
+struct TimestampedMessage {
+  explicit TimestampedMessage(std::span<iovec> parts) {
+    header.msg_iov = parts.data();
+    header.msg_iovlen = parts.size();
+    header.msg_control = control;
+    header.msg_controllen = sizeof control;
+  }
+  // By SCM_TIMESTAMPNS; nullopt if the kernel has added none.
+  std::optional<ArrivalTime> arrival() {
+    for (cmsghdr* part = CMSG_FIRSTHDR(&header); part != nullptr; part = CMSG_NXTHDR(&header, part)) {
+      if (part->cmsg_level != SOL_SOCKET || part->cmsg_type != SCM_TIMESTAMPNS) continue;
+      timespec time{};
+      std::memcpy(&time, CMSG_DATA(part), sizeof time);
+      return std::int64_t{time.tv_sec} * kNanosecondsPerSecond + time.tv_nsec;
+    }
+    return std::nullopt;
+  }
+  msghdr header{};
+  alignas(cmsghdr) char control[128];
+};
+
+bool is_unsupported(int error) { return error == ENOSYS || error == EOPNOTSUPP || error == EINVAL; }
 
 }  // namespace
 
@@ -55,9 +89,11 @@
   handler_.on_peer_closed();
 }
 
-void Stream::enable_receive_timestamps() {
-  const int on = 1;
-  receive_timestamps_ = setsockopt(fd_.get(), SOL_SOCKET, SO_TIMESTAMPNS, &on, sizeof on) == 0;
+void Stream::enable_receive_timestamps() { receive_timestamps_ = request_receive_timestamps(fd_.get()); }
+
+double Stream::last_arrival_time() const {
+  if (!last_arrival_is_known_) return last_read_at_;
+  return std::min(kSecondsPerNanosecond * static_cast<double>(last_arrival_) - wall_offset(), last_read_at_);
 }
 
 void Stream::send(std::span<const std::uint8_t> bytes) {
@@ -189,39 +225,66 @@
 }
 
 // As recv(2) of one byte, which stays unread. Does not wait.
-long Stream::peek() const {
+long Stream::peek_byte() const {
   std::uint8_t byte = 0;
   return ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 }
 
-bool Stream::peer_idle() const { return fd_ && peek() < 0 && (errno == EAGAIN || errno == EWOULDBLOCK); }
+bool Stream::peer_idle() const { return fd_ && peek_byte() < 0 && (errno == EAGAIN || errno == EWOULDBLOCK); }
 
-bool Stream::has_unread_bytes() const { return fd_ && peek() > 0; }
+bool Stream::has_unread_bytes() const { return fd_ && peek_byte() > 0; }
+
+std::size_t Stream::unread_bytes() const {
+  int bytes = 0;
+  return fd_ && ::ioctl(fd_.get(), SIOCINQ, &bytes) == 0 ? static_cast<std::size_t>(std::max(bytes, 0)) : 0;
+}
+
+std::size_t Stream::peek(std::span<std::uint8_t> buffer, ArrivalTime& last_arrival) const {
+  iovec part{buffer.data(), buffer.size()};
+  TimestampedMessage message({&part, 1});
+  const auto n = fd_ ? ::recvmsg(fd_.get(), &message.header, MSG_PEEK | MSG_DONTWAIT) : -1;
+  if (n <= 0) return 0;
+  last_arrival = message.arrival().value_or(loop_.previous_poll_arrival_time());
+  return static_cast<std::size_t>(n);
+}
+
+ArrivalTime Stream::arrival_of_unread(std::size_t count) const {
+  if (!fd_ || count == 0) return 0;
+  // The kernel tells the time of the last byte that it copies: all of them go to the same place.
+  const std::span<std::uint8_t> scratch = loop_.scratch();
+  std::vector<iovec> parts;
+  for (std::size_t left = count; left > 0; left -= parts.back().iov_len)
+    parts.push_back({scratch.data(), std::min(left, scratch.size())});
+  TimestampedMessage message(parts);
+  const auto n = ::recvmsg(fd_.get(), &message.header, MSG_PEEK | MSG_DONTWAIT);
+  if (n < 0 || static_cast<std::size_t>(n) < count) return 0;
+  return message.arrival().value_or(loop_.previous_poll_arrival_time());
+}
 
 // As recv(2). Also sets the arrival time if receive timestamps are enabled.
 long Stream::receive(std::uint8_t* buffer, std::size_t size) {
   if (!receive_timestamps_) return ::recv(fd_.get(), buffer, size, 0);
   iovec part{buffer, size};
-  alignas(cmsghdr) char control[128];
-  msghdr message{};
-  message.msg_iov = &part;
-  message.msg_iovlen = 1;
-  message.msg_control = control;
-  message.msg_controllen = sizeof control;
-  const auto n = ::recvmsg(fd_.get(), &message, 0);
-  if (n <= 0) return n;
-  last_arrival_time_ = loop_.now();
-  for (cmsghdr* header = CMSG_FIRSTHDR(&message); header != nullptr; header = CMSG_NXTHDR(&message, header)) {
-    if (header->cmsg_level != SOL_SOCKET || header->cmsg_type != SCM_TIMESTAMPNS) continue;
-    timespec time{};
-    std::memcpy(&time, CMSG_DATA(header), sizeof time);
-    const double received_at =
-        static_cast<double>(time.tv_sec) + 1e-9 * static_cast<double>(time.tv_nsec) - wall_offset();
-    if (received_at < last_arrival_time_) last_arrival_time_ = received_at;
+  TimestampedMessage message({&part, 1});
+  const auto n = ::recvmsg(fd_.get(), &message.header, 0);
+  if (n < 0 && is_unsupported(errno)) {
+    receive_timestamps_ = false;
+    last_arrival_is_known_ = false;
+    last_arrival_ = loop_.previous_poll_arrival_time();
+    return receive(buffer, size);
   }
+  if (n <= 0) return n;
+  const std::optional<ArrivalTime> arrival = message.arrival();
+  last_read_at_ = loop_.now();
+  last_arrival_is_known_ = arrival.has_value();
+  last_arrival_ = arrival.value_or(loop_.previous_poll_arrival_time());
   return n;
 }
 
+void Stream::note_undrained() {
+  if (!receive_buffer_drained_ && receive_timestamps_) loop_.bytes_left_unread(last_arrival_);
+}
+
 void Stream::on_readable() {
   if (limits_.free_when_empty) return read_via_scratch();
   if (read_buffer_.size() < unconsumed_ + read_size_) read_buffer_.resize(unconsumed_ + read_size_);
@@ -232,6 +295,7 @@
   }
   if (n == 0) return handle_eof();
   receive_buffer_drained_ = static_cast<std::size_t>(n) < read_size_;
+  note_undrained();
   if (!receive_buffer_drained_) read_size_ = std::min(2 * read_size_, limits_.max_read);
   unconsumed_ += static_cast<std::size_t>(n);
   deliver_unconsumed();
@@ -254,6 +318,7 @@
   if (n == 0) return handle_eof();
   const auto bytes = space.first(static_cast<std::size_t>(n));
   receive_buffer_drained_ = bytes.size() < space.size();
+  note_undrained();
   if (unconsumed_ > 0) {
     keep_unconsumed(bytes);
     return deliver_unconsumed();
@@ -299,6 +364,7 @@
 
 Listener::Listener(Loop& loop, Fd fd, AcceptCallback on_accept)
     : loop_(loop), fd_(std::move(fd)), on_accept_(std::move(on_accept)) {
+  request_receive_timestamps(fd_.get());
   loop_.watch(fd_.get(), *this);
 }
 
@@ -308,6 +374,7 @@
   for (int i = 0; i < kMaxAcceptsPerEvent; ++i) {
     Fd fd = accept_from(fd_.get());
     if (!fd) return;
+    loop_.connection_accepted();
     on_accept_(std::move(fd));
   }
 }
--- a/src/loop/stream.h
+++ b/src/loop/stream.h
@@ -109,11 +109,22 @@
   std::uint64_t total_queued() const { return total_written_ + unsent(); }
   // Arrival time of the latest bytes read, by the kernel's receive timestamp, in seconds of CLOCK_MONOTONIC.
   // Falls back to the time of the read. Valid only after enable_receive_timestamps().
-  double last_arrival_time() const { return last_arrival_time_; }
+  double last_arrival_time() const;
+  // The same for ordering bytes of several connections. Without a timestamp it is a lower bound, see
+  // Loop::previous_poll_arrival_time().
+  ArrivalTime last_arrival() const { return last_arrival_; }
   // True if the latest read emptied the receive buffer. False while a pause or the read limit leaves bytes in
   // it.
   bool receive_buffer_drained() const { return receive_buffer_drained_; }
   void enable_receive_timestamps();
+  // The number of received bytes that are still unread, by SIOCINQ of tcp(7).
+  std::size_t unread_bytes() const;
+  // Copies the first unread bytes, which stay unread, and sets `last_arrival` to the arrival time of the last
+  // of them. Returns the number of bytes, 0 if there are none.
+  std::size_t peek(std::span<std::uint8_t> buffer, ArrivalTime& last_arrival) const;
+  // The arrival time of the unread byte number `count`, from 1; 0 if it is not there. Uses the loop's scratch
+  // space.
+  ArrivalTime arrival_of_unread(std::size_t count) const;
 
  private:
   void on_readable() override;
@@ -131,7 +142,8 @@
   void fail(const std::string& reason);
   void handle_eof();
   long receive(std::uint8_t* buffer, std::size_t size);
-  long peek() const;
+  void note_undrained();
+  long peek_byte() const;
 
   Loop& loop_;
   Fd fd_;
@@ -143,7 +155,9 @@
   bool receive_timestamps_ = false;
   bool receive_buffer_drained_ = true;
   std::size_t read_size_ = kInitialReadBytes;  // doubles while reads fill it, up to the limit
-  double last_arrival_time_ = 0;
+  ArrivalTime last_arrival_ = 0;
+  bool last_arrival_is_known_ = false;  // by a timestamp
+  double last_read_at_ = 0;
   std::vector<std::uint8_t> read_buffer_;
   std::size_t read_offset_ = 0;  // bytes at the front of read_buffer_ that were consumed
   std::size_t unconsumed_ = 0;   // bytes behind them; the rest is space for the next read
@@ -161,6 +175,7 @@
 class Listener final : private PollHandler {
  public:
   using AcceptCallback = std::function<void(Fd)>;
+  // The accepted connections have receive timestamps from their first byte, if the kernel provides them.
   Listener(Loop& loop, Fd fd, AcceptCallback on_accept);
   ~Listener() override;
   // Accepts one pending connection outside of the callback. Returns an empty Fd if there is none.
--- a/src/nvme/target.cpp
+++ b/src/nvme/target.cpp
@@ -22,7 +22,7 @@
 }  // namespace
 
 // A connection: one admin or I/O queue of an association.
-class TargetConnection final : public StreamHandler {
+class TargetConnection final : public StreamHandler, private ArrivalHandler {
  public:
   TargetConnection(Target& target, ConnectionId id, Fd fd)
       : target_(target),
@@ -30,12 +30,14 @@
         peer_(peer_address(fd.get())),
         parser_(Role::kController, kMaxH2cData + target.options_.in_capsule_data_size + kMaxPduHeaders),
         stream_(target.loop_, std::move(fd), *this) {
-    if (target.options_.arrival_source == ArrivalSource::kKernelTimestamp)
-      stream_.enable_receive_timestamps();
+    stream_.enable_receive_timestamps();
     watchdog_ = target.loop_.run_at(target.loop_.now() + target.options_.connect_timeout,
                                     [this] { check_timeout(); });
   }
-  ~TargetConnection() override { target_.loop_.cancel(watchdog_); }
+  ~TargetConnection() override {
+    target_.loop_.cancel(watchdog_);
+    target_.loop_.cancel_deliveries(*this);
+  }
 
   std::size_t on_received(ByteView bytes) override {
     std::size_t consumed = 0;
@@ -352,9 +354,17 @@
     if (sqe.opcode != opcode::kRead && sqe.opcode != opcode::kWrite && sqe.opcode != opcode::kFlush &&
         sqe.opcode != opcode::kZoneAppend)
       return complete(cid, status::kInvalidOpcode, 0, {});
+    target_.loop_.deliver_in_order(stream_.last_arrival(), *this, cid);
+  }
+
+  // The turn of an I/O command has come.
+  void on_arrival(std::uint64_t cid) override {
+    const auto found = outstanding_.find(static_cast<std::uint16_t>(cid));
+    if (closed_ || found == outstanding_.end()) return;
+    OutstandingCommand& outstanding = found->second;
     Command command;
     command.connection = id_;
-    command.sqe = sqe;
+    command.sqe = outstanding.sqe;
     command.arrived_at = outstanding.arrived_at;
     buffered_write_bytes_ -= outstanding.data.size();
     command.data = std::move(outstanding.data);
--- a/src/nvme/target.h
+++ b/src/nvme/target.h
@@ -46,7 +46,8 @@
   virtual ~Backend() = default;
   // Fills a page of 4096 bytes. For Identify Controller the target has filled the page before the call.
   virtual Status identify(std::uint8_t cns, std::uint8_t csi, std::uint32_t nsid, Bytes& page) = 0;
-  // Executes an I/O command, to be completed by Target::complete.
+  // Executes an I/O command, to be completed by Target::complete. Commands of several connections come in the
+  // order in which their last bytes arrived.
   virtual void execute_command(Command&& command) = 0;
   // Reads `length` bytes of log page `lid` from byte `offset`, to be completed by Target::complete.
   virtual void get_log_page(ConnectionId connection, std::uint16_t cid, std::uint8_t lid,
--- a/src/platform/client_server.cpp
+++ b/src/platform/client_server.cpp
@@ -27,7 +27,9 @@
         stream(s.loop_, std::move(fd), *this, false, kStreamLimits),
         receiver(http::MessageKind::kRequest, kRequestLimits, s.memory_, MemoryUse::kRequest),
         read_ahead(s.memory_, MemoryUse::kReadAhead),
-        idle_since(s.loop_.now()) {}
+        idle_since(s.loop_.now()) {
+    stream.enable_receive_timestamps();
+  }
 
   const http::Reader& reader() const { return receiver.reader(); }
   bool receives_request() const { return reader().started() || waiting_since > 0; }
@@ -66,15 +68,15 @@
         send_continue_if_expected();
         break;
       }
-      HeldMessagePtr request = receiver.take_message();
+      undelivered_request = receiver.take_message();
+      request_received_at = received_at;
       state = State::kOpen;
-      keep_alive = request->message.keep_alive;
+      keep_alive = undelivered_request->message.keep_alive;
       had_request = true;
       request_started_at = 0;
       continue_sent = false;
-      server.owner_.on_request(id, std::move(request), received_at);
+      server.loop_.deliver_in_order(stream.last_arrival(), server, id);
     }
-    if (state == State::kLingering) return bytes.size();
     const bool behind_open_request = !reads_request();
     read_ahead.set(behind_open_request ? bytes.size() - used : 0);
     const bool unread =
@@ -146,14 +148,16 @@
   MemoryCharge read_ahead;
   State state = State::kReading;
   bool keep_alive = true;
-  bool had_request = false;       // has sent at least one complete request
-  bool closed_idle = false;       // closed between requests: no reply is owed
-  bool evicted = false;           // its descriptor counts as part of the reserve
-  bool continue_sent = false;     // for the request that is being read
-  double unread_since = 0;        // arrival of the first bytes left unread or not consumed; 0: none
-  double waiting_since = 0;       // for memory; 0: does not wait
-  double idle_since;              // connect, last reply or begin of lingering
-  double request_started_at = 0;  // first byte of the request that is being read; 0: none
+  bool had_request = false;            // has sent at least one complete request
+  bool closed_idle = false;            // closed between requests: no reply is owed
+  bool evicted = false;                // its descriptor counts as part of the reserve
+  bool continue_sent = false;          // for the request that is being read
+  HeldMessagePtr undelivered_request;  // complete, but not passed to the owner yet
+  double request_received_at = 0;      // of that one
+  double unread_since = 0;             // arrival of the first bytes left unread or not consumed; 0: none
+  double waiting_since = 0;            // for memory; 0: does not wait
+  double idle_since;                   // connect, last reply or begin of lingering
+  double request_started_at = 0;       // first byte of the request that is being read; 0: none
   std::size_t discarded_bytes = 0;
 };
 
@@ -166,6 +170,7 @@
 }
 
 ClientServer::~ClientServer() {
+  loop_.cancel_deliveries(*this);
   loop_.cancel(timeout_check_);
   loop_.cancel(memory_check_);
   loop_.cancel(drain_timer_);
@@ -182,6 +187,15 @@
   return sum;
 }
 
+// The turn of a client's request has come, unless the client has gone meanwhile.
+void ClientServer::on_arrival(std::uint64_t client) {
+  const auto found = clients_.find(client);
+  if (found == clients_.end()) return;
+  Client& c = *found->second;
+  if (c.undelivered_request == nullptr) return;
+  owner_.on_request(client, std::exchange(c.undelivered_request, nullptr), c.request_received_at);
+}
+
 void ClientServer::accept(Fd fd) {
   if (!descriptors_.acquire(DescriptorBudget::User::kClients) && !evict_idle_connection()) {
     ++counts_.no_descriptor;
--- a/src/platform/client_server.h
+++ b/src/platform/client_server.h
@@ -52,16 +52,17 @@
 };
 
 // Accepts connections, reads requests and writes replies. One transaction is open at a time on each
-// connection; pipelined requests are answered in order. It does not interpret requests.
+// connection; pipelined requests are answered in order. It does not interpret requests. Requests of several
+// connections are passed on in the order in which their last bytes arrived.
 //
 // A request for which the memory budget has no room is left unread. If that lasts, incomplete requests are
 // rejected, those of clients that were never served first, the newest connection first. Complete ones are
 // not.
-class ClientServer {
+class ClientServer final : private ArrivalHandler {
  public:
   ClientServer(Loop& loop, Fd listener, DescriptorBudget& descriptors, MemoryBudget& memory,
                ClientServerOwner& owner);
-  ~ClientServer();
+  ~ClientServer() override;
 
   void reply(ClientId client, ClientReply reply);  // ignored if the connection is closed
   // Accepts new connections for `accept_seconds` and serves open ones for `serve_seconds`, then closes each
@@ -75,6 +76,7 @@
  private:
   struct Client;
 
+  void on_arrival(std::uint64_t client) override;
   void accept(Fd fd);
   bool evict_idle_connection();
   void reply_error(Client& client, int status, const std::string& reason);
--- a/tests/gateway/peer_test.cpp
+++ b/tests/gateway/peer_test.cpp
@@ -260,3 +260,29 @@
   }
   CHECK(downs == 100);
 }
+
+// Guards against two writes of one key that change places because the connection of the later one is read
+// first (docs/incidents/order-across-connections.md).
+TEST_CASE("writes of one key run in the order of their last bytes, on whichever connections they come") {
+  GatewayFixture fixture;
+  fixture.start();
+  TestClient& first = fixture.client();
+  TestClient& second = fixture.client();
+  fixture.run_for(0.05);
+  for (std::uint64_t round = 0; round < 20; ++round) {
+    CAPTURE(round);
+    fixture.nodes[0]->commands.clear();
+    second.read(3 * round, 40);  // its connection is ready first
+    first.write(3 * round + 1, 0);
+    second.write(3 * round + 2, 0);
+    REQUIRE(fixture.run_until([&] {
+      return first.completions.contains(3 * round + 1) && second.completions.contains(3 * round + 2) &&
+             second.completions.contains(3 * round);
+    }));
+    std::vector<std::uint64_t> order;
+    for (const auto& command : fixture.nodes[0]->commands) {
+      if (command.sqe.opcode == nvme::opcode::kWrite) order.push_back(command.sqe.idempotency_key() - 1000);
+    }
+    CHECK(order == std::vector<std::uint64_t>{3 * round + 1, 3 * round + 2});
+  }
+}
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -3,8 +3,10 @@
 // timeouts nor depend on the machine's speed.
 #pragma once
 
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <deque>
 #include <filesystem>
 #include <fstream>
@@ -47,6 +49,28 @@
   Stream stream;
 };
 
+// A client without an event loop, which observes bytes, an orderly end and a reset as the kernel reports
+// them.
+struct RawClient {
+  explicit RawClient(const Address& address) : fd(connect_to(address)) {}
+  bool send(const std::string& text) {
+    return ::send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
+  }
+  // Appends received bytes to `input`. Returns 0 at the peer's orderly end, -1 if the connection is open, or
+  // errno.
+  int receive() {
+    char bytes[65536];
+    while (true) {
+      const auto n = ::recv(fd.get(), bytes, sizeof bytes, MSG_DONTWAIT);
+      if (n > 0) input.append(bytes, static_cast<std::size_t>(n));
+      else if (n == 0) return 0;
+      else return errno == EAGAIN ? -1 : errno;
+    }
+  }
+  Fd fd;
+  std::string input;
+};
+
 class PeerServer {
  public:
   explicit PeerServer(Loop& loop, std::function<void(Peer&)> on_input)
--- a/tests/platform/races_test.cpp
+++ b/tests/platform/races_test.cpp
@@ -6,6 +6,7 @@
 
 using namespace heronworks;
 using heronworks::test::PlatformFixture;
+using heronworks::test::RawClient;
 
 namespace {
 
@@ -13,34 +14,19 @@
   return fixture.scheduler->counts().outcomes[static_cast<std::size_t>(o)];
 }
 
-// A client without an event loop, which observes bytes, an orderly end and a reset as the kernel reports
-// them.
-struct RawClient {
-  explicit RawClient(const Address& address) : fd(connect_to(address)) {}
-  bool send(const std::string& text) {
-    return ::send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
-  }
-  // Appends received bytes to `input`. Returns 0 at the peer's orderly end, -1 if the connection is open, or
-  // errno.
-  int receive() {
-    char bytes[65536];
-    while (true) {
-      const auto n = ::recv(fd.get(), bytes, sizeof bytes, MSG_DONTWAIT);
-      if (n > 0) input.append(bytes, static_cast<std::size_t>(n));
-      else if (n == 0) return 0;
-      else return errno == EAGAIN ? -1 : errno;
-    }
-  }
-  Fd fd;
-  std::string input;
-};
-
 std::size_t count_occurrences(const std::string& text, const std::string& what) {
   std::size_t n = 0;
   for (auto at = text.find(what); at != std::string::npos; at = text.find(what, at + 1)) ++n;
   return n;
 }
 
+// Closes a client's connection on its turn among the arrivals.
+struct CloseOnArrival final : ArrivalHandler {
+  explicit CloseOnArrival(RawClient& to_close) : client(to_close) {}
+  void on_arrival(std::uint64_t) override { client.fd.reset(); }
+  RawClient& client;
+};
+
 void close_with_reset(test::Peer& peer) {
   const linger immediate{1, 0};
   setsockopt(peer.descriptor, SOL_SOCKET, SO_LINGER, &immediate, sizeof immediate);
@@ -52,11 +38,13 @@
 TEST_CASE("race: a client closes while the connection to the node is being established: no request is sent") {
   PlatformFixture fixture;
   fixture.start();
-  {
-    RawClient c(fixture.address);
-    fixture.run_once();
-    REQUIRE(c.send(fixture.request("a")));
-  }  // the client closes; this is read before the new connection is reported as established
+  RawClient c(fixture.address);
+  fixture.run_once();
+  REQUIRE(c.send(fixture.request("a")));
+  // Closes the client once its request is read and before it is dispatched. The close is then read before the
+  // new connection is reported as established.
+  CloseOnArrival close(c);
+  fixture.loop.deliver_in_order(1, close, 0);
   REQUIRE(fixture.run_until([&] { return fixture.scheduler->counts().abandoned == 1; }));
   CHECK(fixture.scheduler->counts().dispatched == 1);
   CHECK(outcome(fixture, Outcome::kNotSent) == 1);
@@ -70,6 +58,21 @@
   CHECK(fixture.node0.server.peers.size() == 1);
 }
 
+TEST_CASE("race: a client closes right behind its request: nothing is sent for it") {
+  PlatformFixture fixture;
+  fixture.start();
+  {
+    RawClient c(fixture.address);
+    fixture.run_once();
+    REQUIRE(c.send(fixture.request("a")));
+  }  // found in the same iteration
+  fixture.run_for(0.1);
+  CHECK(fixture.scheduler->counts().dispatched == 0);
+  CHECK(fixture.scheduler->open_transactions() == 0);
+  CHECK(fixture.scheduler->client_server().connection_count() == 0);
+  CHECK(fixture.node0.received.empty());
+}
+
 TEST_CASE("race: a client closes while its request is partly written: the node never gets all of it") {
   PlatformFixture fixture;
   const int buffer_bytes = 2048;
