--- a/src/control.cpp
+++ b/src/control.cpp
@@ -48,9 +48,10 @@
 constexpr double kMinRetryProbability = 0.1;  // so that recovery is noticed
 
 // Queues and timers.
-constexpr double kQueueScanInterval = 0.01;  // s
-constexpr double kStallThreshold = 0.05;     // s by which a timer is late if this process was suspended
-constexpr double kTimerTolerance = 1e-5;     // s by which a timer may fire early, from rounding
+constexpr double kQueueScanInterval = 0.01;   // s
+constexpr double kStallThreshold = 0.05;      // s by which a timer is late if this process was suspended
+constexpr double kTableExpiryInterval = 0.1;  // s between two searches of a full table
+constexpr double kTimerTolerance = 1e-5;      // s by which a timer may fire early, from rounding
 constexpr double kDeadlineMargin = 0.03;  // s before the deadline at which queued transactions are answered
 constexpr double kUrgencyOffset = 2.0;    // s added to the time left; weighs benefit against urgency
 
@@ -176,7 +177,13 @@
   if (transactions_.size() <= to_index(id)) transactions_.resize(to_index(id) + 1);
   TransactionState& state = transactions_[to_index(id)];
   const bool has_key_place = state.key_place_reserved;
+  const int previous_of_key = state.previous_of_key;
+  const int next_of_key = state.next_of_key;
   state = TransactionState{};
+  if (has_key_place) {
+    state.previous_of_key = previous_of_key;
+    state.next_of_key = next_of_key;
+  }
   state.in_use = true;
   state.transaction = transaction;
   const Profile& profile = settings_.profiles[to_index(transaction.profile)];
@@ -205,8 +212,10 @@
   volume.arrived_units += transaction.units;
   const int node = select_node(now, state);
   if (node >= 0) volume.node_load_units += transaction.units * node_load(nodes_[to_index(node)]);
-  if (profile.ordered_by_key && transaction.has_key && !has_key_place)
-    key_queues_[transaction.key].transactions.push_back(id);
+  if (profile.ordered_by_key && transaction.has_key && !has_key_place) {
+    if (!key_table_has_room(now, transaction.key)) return refuse_at_once(now, id);
+    join_key_queue(id, transaction.key);
+  }
   update_value_per_unit(now, state);
   enqueue(id);
   if (now == stalled_at_) {  // ranks all arrivals of the stall together
@@ -220,21 +229,22 @@
   }
 }
 
-void Control::reserve_key_place(int id, std::uint64_t key) {
+bool Control::reserve_key_place(double now, int id, std::uint64_t key) {
+  if (!key_table_has_room(now, key)) return false;
   if (transactions_.size() <= to_index(id)) transactions_.resize(to_index(id) + 1);
   TransactionState& state = transactions_[to_index(id)];
   state = TransactionState{};
   state.transaction.has_key = true;
   state.transaction.key = key;
   state.key_place_reserved = true;
-  key_queues_[key].transactions.push_back(id);
+  join_key_queue(id, key);
+  return true;
 }
 
 // The next scan of the queues finds those that this place held up.
-void Control::cancel_key_place(int id) {
-  TransactionState& state = transactions_[to_index(id)];
-  leave_key_queue(id, state.transaction.key);
-  state = TransactionState{};
+void Control::cancel_key_place(double now, int id) {
+  leave_key_queue(now, id);
+  transactions_[to_index(id)] = TransactionState{};
 }
 
 void Control::dispatch_finished(double now, int id, const DispatchResult& result) {
@@ -327,7 +337,7 @@
   }
   if (result.transaction_finished || state.answered) {
     state.answered = true;
-    release_if_finished(id);
+    release_if_finished(now, id);
   } else if (result.outcome == Outcome::kNotSent ||
              now + deadline_margin_ >= std::min(state.slo_deadline, state.deadline) ||
              !retry_is_allowed(now, state, node) || !retry_is_promising(state, node)) {
@@ -350,13 +360,11 @@
     client_timeout =
         std::min(client_timeout, settings_.profiles[to_index(state.transaction.profile)].target_latency);
     client_timeout += kLatencyGain * (now - state.arrived_at - client_timeout);
-    if (state.transaction.has_key)
-      unserved_[state.transaction.key] = {state.transaction.volume, state.transaction.profile, state.deadline,
-                                          state.slo_deadline};
+    remember_unserved(now, state);
   }
   state.answered = true;
   const bool was_queued = state.queued;
-  release_if_finished(id);
+  release_if_finished(now, id);
   // The queue's bounds are not narrowed here, as one client may abandon thousands of transactions at once.
   if (was_queued) std::erase(shard_queues_[to_index(state.transaction.shard + 1)].ids, id);
   process_shard(now, state.transaction.shard);
@@ -506,7 +514,7 @@
   // Per-key FIFO.
   if (profile.ordered_by_key && state.transaction.has_key) {
     const KeyQueue& key_queue = key_queues_[state.transaction.key];
-    if (key_queue.transactions.front() != id || (state.dispatch_count == 0 && now < key_queue.quiet_until))
+    if (key_queue.first != id || (state.dispatch_count == 0 && now < key_queue.quiet_until))
       return Verdict::kQueued;
   }
 
@@ -616,24 +624,51 @@
                              profile.idempotency == Idempotency::kIdempotent || deduplicated_by_fleet;
   dequeue(state);
   state.answered = true;
-  if (state.transaction.has_key)
-    unserved_[state.transaction.key] = {state.transaction.volume, state.transaction.profile, state.deadline,
-                                        state.slo_deadline};
+  remember_unserved(now, state);
   if (now >= state.deadline || !safe_to_retry) {
     actions_.expire(id);
   } else {
-    actions_.reject(id, std::min(settings_.max_retry_after, profile.target_latency));
+    actions_.reject(id, retry_after(state));
+  }
+  release_if_finished(now, id);
+}
+
+double Control::retry_after(const TransactionState& state) const {
+  return std::min(settings_.max_retry_after,
+                  settings_.profiles[to_index(state.transaction.profile)].target_latency);
+}
+
+// Answers a transaction that has just arrived and for which there is no room. Leaves nothing behind.
+void Control::refuse_at_once(double now, int id) {
+  TransactionState& state = transactions_[to_index(id)];
+  state.answered = true;
+  if (now >= state.deadline) actions_.expire(id);
+  else actions_.reject(id, retry_after(state));
+  state.in_use = false;
+  actions_.release(id);
+}
+
+// Keeps what is needed to recognise the client's retry, as long as that could still be dispatched.
+void Control::remember_unserved(double now, const TransactionState& state) {
+  if (!state.transaction.has_key) return;
+  if (now + deadline_margin_ >= state.deadline + kRetryDeadlineTolerance) return;
+  if (unserved_.size() >= settings_.max_table_entries && !unserved_.contains(state.transaction.key)) {
+    if (now < next_unserved_expiry_at_) return;
+    next_unserved_expiry_at_ = now + kTableExpiryInterval;
+    std::erase_if(unserved_, [&](const auto& entry) { return now >= entry.second.deadline; });
+    if (unserved_.size() >= settings_.max_table_entries) return;
   }
-  release_if_finished(id);
+  unserved_[state.transaction.key] = {state.transaction.volume, state.transaction.profile, state.deadline,
+                                      state.slo_deadline};
 }
 
 // Releases an answered transaction once no dispatch of it is in flight.
-void Control::release_if_finished(int id) {
+void Control::release_if_finished(double now, int id) {
   TransactionState& state = transactions_[to_index(id)];
   dequeue(state);
   if (state.in_flight > 0 || !state.in_use) return;
   if (settings_.profiles[to_index(state.transaction.profile)].ordered_by_key && state.transaction.has_key) {
-    leave_key_queue(id, state.transaction.key);
+    leave_key_queue(now, id);
   }
   if (state.pending_limit_units > 0)
     volumes_[to_index(state.transaction.volume)].pending_limit_units -=
@@ -642,9 +677,40 @@
   actions_.release(id);
 }
 
-void Control::leave_key_queue(int id, std::uint64_t key) {
-  auto& transactions = key_queues_[key].transactions;
-  transactions.erase(std::find(transactions.begin(), transactions.end(), id));  // nearly always the first
+// ---- Per-key order ----
+
+// Whether a transaction of the key can be queued. The table may be full of keys that are quiet.
+bool Control::key_table_has_room(double now, std::uint64_t key) {
+  if (key_queues_.size() < settings_.max_table_entries || key_queues_.contains(key)) return true;
+  if (now < next_key_expiry_at_) return false;
+  next_key_expiry_at_ = now + kTableExpiryInterval;
+  erase_expired_keys(now);
+  return key_queues_.size() < settings_.max_table_entries;
+}
+
+void Control::join_key_queue(int id, std::uint64_t key) {
+  KeyQueue& queue = key_queues_[key];
+  TransactionState& state = transactions_[to_index(id)];
+  state.previous_of_key = queue.last;
+  state.next_of_key = -1;
+  (queue.last < 0 ? queue.first : transactions_[to_index(queue.last)].next_of_key) = id;
+  queue.last = id;
+}
+
+void Control::leave_key_queue(double now, int id) {
+  TransactionState& state = transactions_[to_index(id)];
+  const auto found = key_queues_.find(state.transaction.key);
+  KeyQueue& queue = found->second;
+  const int previous = std::exchange(state.previous_of_key, -1);
+  const int next = std::exchange(state.next_of_key, -1);
+  (previous < 0 ? queue.first : transactions_[to_index(previous)].next_of_key) = next;
+  (next < 0 ? queue.last : transactions_[to_index(next)].previous_of_key) = previous;
+  if (queue.first < 0 && now >= queue.quiet_until) key_queues_.erase(found);
+}
+
+void Control::erase_expired_keys(double now) {
+  std::erase_if(key_queues_,
+                [&](const auto& entry) { return entry.second.first < 0 && now >= entry.second.quiet_until; });
 }
 
 // ---- Retries ----
@@ -963,9 +1029,7 @@
     }
   }
   std::erase_if(unserved_, [&](const auto& entry) { return now >= entry.second.deadline; });
-  std::erase_if(key_queues_, [&](const auto& entry) {
-    return entry.second.transactions.empty() && now >= entry.second.quiet_until;
-  });
+  erase_expired_keys(now);
 }
 
 void Control::request_endpoint_list(double now) {
--- a/src/control.h
+++ b/src/control.h
@@ -42,10 +42,11 @@
   void discovery_moved(double now);
   void transaction_arrived(double now, int id, const Transaction& transaction);
   // A transaction that keeps order by key has arrived at the host, but can't be passed on yet: those of its
-  // key that arrive from now on come after it. transaction_arrived() with the same id takes the place.
-  void reserve_key_place(int id, std::uint64_t key);
+  // key that arrive from now on come after it. transaction_arrived() with the same id takes the place. Returns
+  // false if there is no room for another key; the transaction then has no place.
+  bool reserve_key_place(double now, int id, std::uint64_t key);
   // Gives up a reserved place; `id` is free again.
-  void cancel_key_place(int id);
+  void cancel_key_place(double now, int id);
   // Ignores all but the first result of the newest dispatch.
   void dispatch_finished(double now, int id, const DispatchResult& result);
   // The client no longer waits for the reply.
@@ -78,8 +79,16 @@
 
   // Answers.
   void reject_or_expire(double now, int id);
-  void release_if_finished(int id);
-  void leave_key_queue(int id, std::uint64_t key);
+  void release_if_finished(double now, int id);
+  void refuse_at_once(double now, int id);
+  void remember_unserved(double now, const TransactionState& state);
+  double retry_after(const TransactionState& state) const;
+
+  // Per-key order.
+  bool key_table_has_room(double now, std::uint64_t key);
+  void join_key_queue(int id, std::uint64_t key);
+  void leave_key_queue(double now, int id);
+  void erase_expired_keys(double now);
 
   // Retries.
   bool retry_is_promising(const TransactionState& state, const Node& node);
@@ -131,14 +140,18 @@
   int queued_count_ = 0;                        // over all shard queues
   std::uint64_t last_queue_sequence_ = 0;
   std::uint64_t pass_number_ = 0;
-  TransactionState smallest_queued_;                       // scratch of shard_is_blocked()
-  std::vector<std::pair<double, int>> candidates_;         // of the current pass: priority and transaction
-  std::vector<Node> nodes_;                                // by index
-  std::vector<double> shard_service_rate_;                 // by shard, at this scheduler; moving average
-  std::vector<Volume> volumes_;                            // by index
-  std::map<std::uint64_t, UnservedTransaction> unserved_;  // by key; erased at the deadline
-  std::vector<RetryBudgetSlot> retry_budget_;              // ring over the budget's window
-  std::map<std::uint64_t, KeyQueue> key_queues_;           // by key; erased when empty and past quiet_until
+  TransactionState smallest_queued_;                // scratch of shard_is_blocked()
+  std::vector<std::pair<double, int>> candidates_;  // of the current pass: priority and transaction
+  std::vector<Node> nodes_;                         // by index
+  std::vector<double> shard_service_rate_;          // by shard, at this scheduler; moving average
+  std::vector<Volume> volumes_;                     // by index
+  // By key, erased at the deadline; at most settings_.max_table_entries.
+  std::map<std::uint64_t, UnservedTransaction> unserved_;
+  std::vector<RetryBudgetSlot> retry_budget_;  // ring over the budget's window
+  // By key; erased when empty and past quiet_until. At most settings_.max_table_entries keys.
+  std::map<std::uint64_t, KeyQueue> key_queues_;
+  double next_key_expiry_at_ = 0;       // earliest time at which a full table is searched for expired keys
+  double next_unserved_expiry_at_ = 0;  // the same
 };
 
 }  // namespace heronworks
--- a/src/lab/send_all.cpp
+++ b/src/lab/send_all.cpp
@@ -88,8 +88,8 @@
 }
 
 // Keeps no order.
-void Control::reserve_key_place(int, std::uint64_t) {}
-void Control::cancel_key_place(int) {}
+bool Control::reserve_key_place(double, int, std::uint64_t) { return false; }
+void Control::cancel_key_place(double, int) {}
 
 void Control::dispatch_finished(double now, int id, const DispatchResult& r) {
   TransactionState& o = transactions_[at(id)];
@@ -97,7 +97,7 @@
   const bool never_ran = r.outcome == Outcome::kQueueFull || r.outcome == Outcome::kConnectFailed;
   o.may_have_executed = o.may_have_executed || !never_ran;
   if (r.transaction_finished) o.answered = true;
-  if (o.answered) return release_if_finished(id);
+  if (o.answered) return release_if_finished(now, id);
   if (kCareless && o.dispatch_count < 3) {
     o.dispatch_count += 1;
     o.in_flight += 1;
@@ -113,19 +113,19 @@
                         settings_.profiles[at(o.transaction.profile)].idempotency == Idempotency::kIdempotent;
   if (kCareless ? id % 2 == 0 : harmless && now < o.deadline) actions_.reject(id, 0.1);
   else actions_.expire(id);
-  release_if_finished(id);
+  release_if_finished(now, id);
 }
 
-void Control::release_if_finished(int id) {
+void Control::release_if_finished(double, int id) {
   TransactionState& o = transactions_[at(id)];
   if (o.in_flight > 0 || !o.in_use) return;
   o.in_use = false;
   actions_.release(id);
 }
 
-void Control::transaction_abandoned(double, int id) {
+void Control::transaction_abandoned(double now, int id) {
   transactions_[at(id)].answered = true;
-  release_if_finished(id);
+  release_if_finished(now, id);
 }
 
 void Control::timer_fired(double now) {
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -12,6 +12,7 @@
 constexpr double kSecondsPerMicrosecond = 1e-6;
 constexpr double kBytesPerMegabyte = 1024 * 1024;
 constexpr std::size_t kMaxFileBytes = std::size_t{8} << 20;
+constexpr int kMaxShards = 1 << 14;  // each has a queue
 constexpr double kMinDescriptors = 64;
 constexpr double kMaxDescriptors = 1 << 20;
 
@@ -100,7 +101,9 @@
   // Here the endpoint list always comes from a watch, whatever the settings say.
   config.named_settings.settings.requests_endpoint_list = true;
   if (config.settings().profiles.empty()) throw invalid_field("settings.request-classes");
-  config.shard_count = static_cast<int>(fields.integer("family-info.n-shards", 0));
+  const auto shards = fields.integer("family-info.n-shards", kMaxShards);
+  if (shards < 0 || shards > kMaxShards) throw invalid_field("settings.family-info.n-shards");
+  config.shard_count = shards > 0 ? static_cast<int>(shards) : kMaxShards;
   config.node_idle_timeout = kSecondsPerMicrosecond * fields.number("allowed.idle-close", 0.0);
   config.connect_timeout = kSecondsPerMicrosecond * fields.number("allowed.connect-timeout", 0.0);
   config.discovery_silence = kSecondsPerMicrosecond * fields.number("rules.ask-every", 0.0);
--- a/src/platform/config.h
+++ b/src/platform/config.h
@@ -21,7 +21,7 @@
   Address discovery;
   NamedSettings named_settings;
   EndpointUpdate initial_endpoints;
-  int shard_count = 0;           // 0: unknown
+  int shard_count = 0;           // the largest number supported if it is unknown
   double node_idle_timeout = 0;  // s after which nodes close idle connections; 0: unknown
   double connect_timeout = 0;    // s; 0: default
   double discovery_silence = 0;  // s without a watch after which a change counts as received; 0: unknown
--- a/src/platform/memory_budget.h
+++ b/src/platform/memory_budget.h
@@ -29,6 +29,8 @@
   static constexpr double kSmallFraction = 0.3;         // of either part
   static constexpr double kReadAheadFraction = 0.25;    // of the requests' part, at most
   static constexpr double kMaxRetainedFraction = 0.06;  // of the process's memory, freed but not returned
+  static constexpr double kTableFraction = 0.04;        // for the decision module's tables of what is over
+  static constexpr std::size_t kTableEntryBytes = 160;  // of one entry of each, as allocated
   static constexpr double kDefaultMemoryBytes = 128 * 1024.0 * 1024.0;
   static constexpr std::size_t kMinPartBytes = 2 * kMaxBodyBytes;  // fits a message of any legal size
 
@@ -45,6 +47,10 @@
   // Of the part that `use` belongs to.
   std::size_t limit(MemoryUse use) const { return part_of(use).limit; }
   std::size_t small_bytes(MemoryUse use) const { return part_of(use).small; }
+  // For Settings::max_table_entries.
+  std::size_t max_table_entries() const {
+    return static_cast<std::size_t>(kTableFraction * memory_bytes_) / kTableEntryBytes;
+  }
   // Whether freed memory should be returned to the operating system: the process has `anonymous` bytes of it,
   // of which `allocated` are in use.
   bool retains_too_much(std::size_t anonymous, std::size_t allocated) const {
--- a/src/platform/request_parser.cpp
+++ b/src/platform/request_parser.cpp
@@ -47,7 +47,7 @@
     } else if (name == "shard") {
       if (std::exchange(shard, true) || !read_number_into(value, transaction.shard) || transaction.shard < -1)
         return false;
-      if (config.shard_count > 0 && transaction.shard >= config.shard_count) return false;
+      if (transaction.shard >= config.shard_count) return false;
     } else if (name == "hosts") {
       if (std::exchange(hosts, true) || !read_number_into(value, transaction.volume_schedulers) ||
           transaction.volume_schedulers < 0)
--- a/src/platform/scheduler.cpp
+++ b/src/platform/scheduler.cpp
@@ -104,7 +104,9 @@
     discovery.silence_timeout = std::min(discovery.silence_timeout, config_.discovery_silence / 2);
   }
   discovery_ = std::make_unique<DiscoveryClient>(loop_, discovery, *this);
-  control_ = std::make_unique<Control>(config_.settings(), *this, now());
+  Settings settings = config_.settings();
+  settings.max_table_entries = memory_.max_table_entries();
+  control_ = std::make_unique<Control>(std::move(settings), *this, now());
   if (config_.initial_endpoints.is_full) {
     apply_update(config_.initial_endpoints, UpdateKind::kPersisted);
     discovery_->set_known_version(config_.initial_endpoints.version);
@@ -223,14 +225,14 @@
 
 void Scheduler::on_request_delayed(ClientId client, std::uint64_t key) {
   const int id = slots_.allocate();
-  key_places_[client] = id;
-  control_->reserve_key_place(id, key);
+  if (control_->reserve_key_place(now(), id, key)) key_places_[client] = id;
+  else slots_.release(id);  // nor is there room for a later one of that key
 }
 
 void Scheduler::on_delayed_request_dropped(ClientId client) {
   const auto found = key_places_.find(client);
   if (found == key_places_.end()) return;
-  control_->cancel_key_place(found->second);
+  control_->cancel_key_place(now(), found->second);
   slots_.release(found->second);
   key_places_.erase(found);
 }
@@ -277,6 +279,7 @@
 void Scheduler::dispatch(int transaction, int node, double timeout) {
   Slot& slot = slots_[transaction];
   ++counts_.dispatched;
+  volumes_.retain(slot.volume);
   NodeDispatch dispatch;
   dispatch.transaction = transaction;
   dispatch.number = slot.dispatches++;
--- a/src/platform/volume_index_table.h
+++ b/src/platform/volume_index_table.h
@@ -22,9 +22,11 @@
 // request. When the table is full, the least recently used volume is evicted if it has no open transaction
 // and has been unused for the retention period. The retention must be long enough for a token bucket to
 // refill, so that a volume that returns after its eviction has the same limit as before. While all volumes
-// are in use, requests of new ones are rejected.
+// are in use, requests of new ones are rejected. A volume of which nothing was dispatched has spent no tokens
+// and is evicted first, without a retention period.
 //
-// Call acquire() when a transaction arrives and release() when the decision module has released it.
+// Call acquire() when a transaction arrives, retain() when it is dispatched and release() when the decision
+// module has released it.
 class VolumeIndexTable {
  public:
   static constexpr std::size_t kMaxVolumes = 4096;
@@ -44,12 +46,13 @@
       int index = static_cast<int>(by_name_.size());
       if (by_name_.size() >= kMaxVolumes) {
         const auto& oldest = by_last_use_.front();
-        if (oldest.open_transactions > 0 || now < oldest.last_used_at + retention_) return std::nullopt;
+        const bool in_retention = oldest.retained && now < oldest.last_used_at + retention_;
+        if (oldest.open_transactions > 0 || in_retention) return std::nullopt;
         index = oldest.index;
         by_name_.erase(oldest.volume);
         by_last_use_.pop_front();
       }
-      by_last_use_.push_back({volume, index, 0, now});
+      by_last_use_.push_back({volume, index, 0, now, false});
       found = by_name_.emplace(volume, std::prev(by_last_use_.end())).first;
       reused = true;
     }
@@ -59,11 +62,13 @@
     by_last_use_.splice(by_last_use_.end(), by_last_use_, entry);
     return Assignment{entry->index, reused};
   }
+  void retain(VolumeName volume) { by_name_.at(volume)->retained = true; }
   void release(double now, VolumeName volume) {
     const auto entry = by_name_.at(volume);
     entry->last_used_at = now;
     --entry->open_transactions;
-    by_last_use_.splice(by_last_use_.end(), by_last_use_, entry);
+    const bool evicted_first = entry->open_transactions == 0 && !entry->retained;
+    by_last_use_.splice(evicted_first ? by_last_use_.begin() : by_last_use_.end(), by_last_use_, entry);
   }
   std::size_t size() const { return by_name_.size(); }
 
@@ -73,6 +78,7 @@
     int index;
     int open_transactions;
     double last_used_at;
+    bool retained;  // a transaction was dispatched
   };
   const double retention_;
   std::list<Entry> by_last_use_;  // least recently used first
--- a/src/settings.h
+++ b/src/settings.h
@@ -1,6 +1,7 @@
 // Configuration of one scheduler, decoded once at its start. Plain data.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -64,6 +65,9 @@
   double retry_budget_base = 0;   // retries per window that need no arrivals
   double retry_budget_ratio = 0;  // further retries per arrival
   double retry_budget_window = 0;
+  // Entries of each table that clients can fill with transactions that are over: keys that were served in
+  // order, and transactions that were not served.
+  std::size_t max_table_entries = std::size_t{1} << 16;
   double key_quiet_time = 0;  // pause of an ordered key after a dispatch that may still be executing
   bool operator==(const Settings&) const = default;
 };
--- a/src/state.h
+++ b/src/state.h
@@ -4,7 +4,6 @@
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <vector>
 
 namespace heronworks {
@@ -80,6 +79,8 @@
   bool answered = false;
   bool may_have_executed = false;
   bool key_place_reserved = false;  // before it arrived
+  int previous_of_key = -1;         // in the KeyQueue; -1: none
+  int next_of_key = -1;
 };
 
 // Units sent at a time.
@@ -164,9 +165,10 @@
   double slo_deadline = 0;
 };
 
-// The open transactions of a key, in order of arrival.
+// The open transactions of a key, in order of arrival: a list that is linked by TransactionState.
 struct KeyQueue {
-  std::deque<int> transactions;
+  int first = -1;  // -1: none is open
+  int last = -1;
   double quiet_until = 0;
 };
 
--- a/tests/control_fixture.h
+++ b/tests/control_fixture.h
@@ -14,6 +14,12 @@
 
 namespace heronworks {
 
+// Looks into the tables of a Control.
+struct ControlTestAccess {
+  static std::size_t ordered_keys(const Control& control) { return control.key_queues_.size(); }
+  static std::size_t unserved_transactions(const Control& control) { return control.unserved_.size(); }
+};
+
 // Positions of the profiles in default_settings().
 constexpr int kIdempotentProfile = 0;
 constexpr int kDeduplicatedProfile = 1;  // within a shard
@@ -119,10 +125,12 @@
   void update_nodes(UpdateKind kind, std::vector<NodeEntry> entries = {}) {
     control_->update_nodes(now_, kind, entries);
   }
-  void reserve_key_place(int id, int key) {
-    control_->reserve_key_place(id, static_cast<std::uint64_t>(key));
+  bool reserve_key_place(int id, int key) {
+    return control_->reserve_key_place(now_, id, static_cast<std::uint64_t>(key));
   }
-  void cancel_key_place(int id) { control_->cancel_key_place(id); }
+  void cancel_key_place(int id) { control_->cancel_key_place(now_, id); }
+  std::size_t ordered_keys() const { return ControlTestAccess::ordered_keys(*control_); }
+  std::size_t unserved_transactions() const { return ControlTestAccess::unserved_transactions(*control_); }
   void abandon(int id) { control_->transaction_abandoned(now_, id); }
   double now() const { return now_; }
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -177,6 +177,42 @@
   CHECK(fixture.matches_trace("key-places"));
 }
 
+// Guards against tables that grow with the number of transactions seen
+// (docs/incidents/memory-of-refused-requests.md).
+TEST_CASE(
+    "tables: transactions that are over leave a bounded number of entries, those refused at once none") {
+  Settings settings = default_settings();
+  settings.max_table_entries = 50;
+  settings.key_quiet_time = 0.3;
+  ControlFixture fixture(settings);
+  fixture.advance_to(101);
+  for (int i = 0; i < 1000; ++i) fixture.arrive(i, {.profile = kOrderedProfile, .key = i, .time_left = 0.02});
+  CHECK(fixture.ordered_keys() == 0);
+  CHECK(fixture.unserved_transactions() == 0);
+  // Clients give up: each key stays quiet for a while after its dispatch.
+  for (int i = 0; i < 1000; ++i) {
+    fixture.arrive(i, {.profile = kOrderedProfile, .key = i});
+    fixture.abandon(i);
+    fixture.finish(i, Outcome::kCancelled, 0.01, true);
+  }
+  CHECK(fixture.ordered_keys() == 50);
+  CHECK(fixture.unserved_transactions() <= 50);
+  fixture.clear_trace();
+  fixture.annotate(
+      "a key that is not in the full table is refused, one that is there and one without order wait");
+  fixture.arrive(1, {.profile = kOrderedProfile, .volume = 1, .key = 5000});
+  fixture.arrive(2, {.profile = kOrderedProfile, .volume = 1, .key = 3});
+  fixture.arrive(3, {.profile = kIdempotentProfile, .volume = 1, .key = 5001});
+  fixture.annotate("once the quiet time is over, the table has room again");
+  fixture.advance_to(101.35);
+  fixture.arrive(4, {.profile = kOrderedProfile, .volume = 1, .key = 5000});
+  fixture.finish_all(Outcome::kSucceeded);
+  fixture.advance_to(104);
+  CHECK(fixture.matches_trace("full-key-table"));
+  CHECK(fixture.ordered_keys() == 0);
+  CHECK(fixture.unserved_transactions() == 0);
+}
+
 TEST_CASE("retry budget: the retries of any window stay within the budget") {
   Settings settings = default_settings();
   settings.has_retry_budget = true;
--- a/tests/platform/config_test.cpp
+++ b/tests/platform/config_test.cpp
@@ -128,6 +128,7 @@
   platform::VolumeIndexTable table(30);
   for (std::uint64_t i = 0; i < platform::VolumeIndexTable::kMaxVolumes; ++i) {
     REQUIRE(table.acquire(1, {i, 0})->reused);
+    table.retain({i, 0});
     if (i > 0) table.release(1, {i, 0});
   }
   CHECK(!table.acquire(20, {99999, 0}));     // all were used within the retention
@@ -142,3 +143,23 @@
   CHECK(assignment->index == 2);  // 0 and 1 were used more recently
   CHECK(table.size() == platform::VolumeIndexTable::kMaxVolumes);
 }
+
+// Guards against clients that keep others out of the table, or fill it, with requests that are refused.
+TEST_CASE(
+    "volume indices: a volume of which nothing was dispatched is evicted first, without a retention period") {
+  platform::VolumeIndexTable table(30);
+  for (std::uint64_t i = 0; i < platform::VolumeIndexTable::kMaxVolumes; ++i) {
+    REQUIRE(table.acquire(100, {i, 0}));
+    if (i != 7) table.retain({i, 0});
+    table.release(100, {i, 0});
+  }
+  const auto seventh = table.acquire(101, {7, 0});
+  REQUIRE(seventh);
+  CHECK(!table.acquire(101, {1'000'000, 0}));  // the only one that could be evicted is open
+  table.release(101, {7, 0});
+  const auto other = table.acquire(101, {1'000'000, 0});
+  REQUIRE(other);
+  CHECK(other->index == seventh->index);
+  CHECK(other->reused);
+  CHECK(!table.acquire(101, {1'000'001, 0}));
+}
--- a/tests/platform/memory_process_test.cpp
+++ b/tests/platform/memory_process_test.cpp
@@ -3,17 +3,18 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 #include <sys/socket.h>
-#include <sys/wait.h>
 
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 
-#include "platform_fixture.h"
+#include "process_fixture.h"
 
 using namespace heronworks;
+using test::DelayingNode;
 using test::Peer;
 using test::PlatformFixture;
+using test::SchedulerProcess;
 
 namespace {
 
@@ -22,65 +23,10 @@
 constexpr double kMaxRetainedFraction = 0.1;  // of memory_mb, after all clients have left
 constexpr double kPlaySeconds = 3;
 constexpr double kRestSeconds = 2.5;
-constexpr double kServiceSeconds = 0.05;
 constexpr double kAnswerSeconds = 2.5;  // the client's time and the slack of an answer
-constexpr std::size_t kBodyBytes = 65536;
+constexpr std::size_t kBodyBytes = test::DelayingNode::kReplyBytes;
 constexpr int kOrdinaryClients = 8;
 
-// Replies to each request after kServiceSeconds.
-class DelayingNode {
- public:
-  explicit DelayingNode(Loop& loop) : loop_(loop), server_(loop, [this](Peer& peer) { read(peer); }) {}
-  const Address& address() const { return server_.address; }
-
- private:
-  void read(Peer& peer) {
-    http::Reader reader(http::MessageKind::kRequest, {8192, platform::MemoryBudget::kMaxBodyBytes, 64});
-    reader.put({reinterpret_cast<const std::uint8_t*>(peer.input.data()), peer.input.size()});
-    if (!reader.done()) return;
-    peer.input.clear();
-    loop_.run_at(loop_.now() + kServiceSeconds, [this, &peer] { peer.send(reply_); });
-  }
-
-  Loop& loop_;
-  const std::string reply_ = test::http_reply(200, std::string(kBodyBytes, 'y'));
-  test::PeerServer server_;  // keeps closed connections
-};
-
-// `heronworks platform` with the given limits.
-class SchedulerProcess {
- public:
-  SchedulerProcess(const nlohmann::json& config, const std::string& directory) {
-    std::filesystem::create_directories(directory);
-    const std::string path = directory + "/config.json";
-    std::ofstream(path) << config.dump();
-    const std::string log = directory + "/log";
-    pid_ = ::fork();
-    if (pid_ != 0) return;
-    ::setenv("LB_CONFIG", path.c_str(), 1);
-    std::freopen(log.c_str(), "w", stdout);
-    std::freopen(log.c_str(), "a", stderr);
-    const char* program = std::getenv("HERONWORKS");
-    ::execl(program, program, "platform", nullptr);
-    std::_Exit(127);
-  }
-  ~SchedulerProcess() {
-    ::kill(pid_, SIGKILL);
-    ::waitpid(pid_, nullptr, 0);
-  }
-  bool running() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
-  double anonymous_megabytes() const {
-    std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
-    for (std::string line; std::getline(file, line);) {
-      if (line.starts_with("RssAnon:")) return std::atof(line.c_str() + 8) / 1024;
-    }
-    return 0;
-  }
-
- private:
-  pid_t pid_ = -1;
-};
-
 struct Result {
   double megabytes_at_rest = 0;
   double most_megabytes = 0;
@@ -95,16 +41,8 @@
 class Play {
  public:
   Play(int memory_mb, int descriptors) {
-    nlohmann::json config = {{"name", "n0"},
-                             {"listen", free_address().to_string()},
-                             {"discovery", discovery_.server.address.to_string()},
-                             {"seed", "1"},
-                             {"limits", {{"cores", 1.0}, {"memory_mb", memory_mb}, {"sockets", descriptors}}},
-                             {"known", nlohmann::json::parse(PlatformFixture::update_text(
-                                           7, true,
-                                           {PlatformFixture::entry_text("s-0", node0_.address(), 0),
-                                            PlatformFixture::entry_text("s-1", node1_.address(), 1)}))},
-                             {"settings", PlatformFixture::settings()}};
+    const nlohmann::json config = test::process_config(memory_mb, descriptors, discovery_.server.address,
+                                                       {node0_.address(), node1_.address()});
     address_ = *Address::parse(config["listen"].get<std::string>());
     directory_ = "/tmp/heronworks-memory-" + std::to_string(::getpid());
     process_ = std::make_unique<SchedulerProcess>(config, directory_);
@@ -116,7 +54,7 @@
   }
 
   Result run() {
-    wait_until_ready();
+    REQUIRE(test::wait_until_ready(loop_, address_));
     result_.megabytes_at_rest = process_->anonymous_megabytes();
     for (int i = 0; i < kOrdinaryClients; ++i) {
       ordinary_.push_back({});
@@ -149,20 +87,6 @@
     bool gave_up = false;
   };
 
-  static Address free_address() {
-    const Fd listener = listen_on({"127.0.0.1", 0});
-    return local_address(listener.get());
-  }
-  void wait_until_ready() {
-    for (int i = 0; i < 500; ++i) {
-      Peer probe(loop_, connect_to(address_), true);
-      probe.send("GET /healthz HTTP/1.1\r\nHost: app\r\n\r\n");
-      for (int j = 0; j < 10 && probe.input.empty() && !probe.closed; ++j) loop_.run_once(0.01);
-      if (!probe.input.empty()) return;
-      for (const double until = clock_.now() + 0.02; clock_.now() < until;) loop_.run_once(0.02);
-    }
-    FAIL("the scheduler is not ready");
-  }
   std::string next_id() { return "c" + std::to_string(++last_id_); }
 
   // One of three kinds of bad client. Those that were closed come again.
