--- a/src/control.cpp
+++ b/src/control.cpp
@@ -617,15 +617,10 @@
 // Answers a transaction that is not served: rejects it if the client may safely retry, else expires it.
 void Control::reject_or_expire(double now, int id) {
   TransactionState& state = transactions_[to_index(id)];
-  const Profile& profile = settings_.profiles[to_index(state.transaction.profile)];
-  const bool deduplicated_by_fleet =
-      profile.idempotency == Idempotency::kDeduplicated && profile.dedup_scope == DedupScope::kFleet;
-  const bool safe_to_retry = (!state.may_have_executed && state.in_flight == 0) ||
-                             profile.idempotency == Idempotency::kIdempotent || deduplicated_by_fleet;
   dequeue(state);
   state.answered = true;
   remember_unserved(now, state);
-  if (now >= state.deadline || !safe_to_retry) {
+  if (now >= state.deadline || !client_retry_is_harmless(state)) {
     actions_.expire(id);
   } else {
     actions_.reject(id, retry_after(state));
@@ -633,6 +628,17 @@
   release_if_finished(now, id);
 }
 
+// Whether the client may try again without a second effect, whenever its retry comes and runs. It may do so
+// until the profile's deadline, which covers all of its attempts. By then the nodes may have forgotten the
+// transaction.
+bool Control::client_retry_is_harmless(const TransactionState& state) const {
+  if (!state.may_have_executed && state.in_flight == 0) return true;
+  const Profile& profile = settings_.profiles[to_index(state.transaction.profile)];
+  if (profile.idempotency == Idempotency::kIdempotent) return true;
+  return profile.idempotency == Idempotency::kDeduplicated && profile.dedup_scope == DedupScope::kFleet &&
+         state.arrived_at + profile.deadline <= state.dedup_until;
+}
+
 double Control::retry_after(const TransactionState& state) const {
   return std::min(settings_.max_retry_after,
                   settings_.profiles[to_index(state.transaction.profile)].target_latency);
--- a/src/control.h
+++ b/src/control.h
@@ -42,8 +42,8 @@
   void discovery_moved(double now);
   void transaction_arrived(double now, int id, const Transaction& transaction);
   // A transaction that keeps order by key has arrived at the host, but can't be passed on yet: those of its
-  // key that arrive from now on come after it. transaction_arrived() with the same id takes the place. Returns
-  // false if there is no room for another key; the transaction then has no place.
+  // key that arrive from now on come after it. transaction_arrived() with the same id takes the place.
+  // Returns false if there is no room for another key; the transaction then has no place.
   bool reserve_key_place(double now, int id, std::uint64_t key);
   // Gives up a reserved place; `id` is free again.
   void cancel_key_place(double now, int id);
@@ -82,6 +82,7 @@
   void release_if_finished(double now, int id);
   void refuse_at_once(double now, int id);
   void remember_unserved(double now, const TransactionState& state);
+  bool client_retry_is_harmless(const TransactionState& state) const;
   double retry_after(const TransactionState& state) const;
 
   // Per-key order.
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -84,6 +84,68 @@
   CHECK(fixture.matches_trace("retry-safety"));
 }
 
+// Guards against a rejection that invites a retry after the nodes have forgotten the first attempt
+// (docs/incidents/refused-after-the-window.md).
+TEST_CASE(
+    "rejections: a deduplicated transaction that may have executed is rejected only if any retry is in its "
+    "window") {
+  for (const double window : {1.0, 3.0}) {  // the profile's deadline is 2 s
+    CAPTURE(window);
+    Settings settings = default_settings();
+    settings.profiles[kDeduplicatedProfile].dedup_window = window;
+    settings.profiles[kDeduplicatedProfile].dedup_scope = DedupScope::kFleet;
+    settings.has_retry_budget = true;
+    settings.retry_budget_window = 10;
+    settings.retry_budget_base = 2;
+    ControlFixture fixture(settings);
+    fixture.advance_to(101);
+    const auto dispatched = [&](int id) {
+      fixture.arrive(id, {.profile = kDeduplicatedProfile, .volume = id, .key = id});
+      fixture.advance_to(fixture.now() + 0.02);
+    };
+    fixture.annotate("time-out, too late for another dispatch");
+    dispatched(1);
+    fixture.advance_to(fixture.now() + 0.6);
+    fixture.finish(1, Outcome::kTimedOut, 0.6);
+    fixture.annotate("error, then rejected by the node: the first dispatch may have executed");
+    dispatched(2);
+    fixture.finish(2, Outcome::kError);
+    fixture.advance_to(fixture.now() + 0.05);
+    fixture.finish(2, Outcome::kQueueFull);
+    fixture.advance_to(fixture.now() + 0.5);
+    fixture.finish(2, Outcome::kQueueFull);
+    fixture.annotate("lost connection, no retry left in the budget");
+    dispatched(3);
+    fixture.finish(3, Outcome::kReset);
+    fixture.annotate("not executed: rejected whatever the window");
+    dispatched(4);
+    for (int i = 0; i < 3; ++i) {
+      fixture.finish(4, Outcome::kQueueFull);
+      fixture.advance_to(fixture.now() + 0.1);
+    }
+    fixture.advance_to(fixture.now() + 1);
+    CHECK(fixture.matches_trace(window < 2 ? "rejections-short-window" : "rejections-long-window"));
+  }
+}
+
+// The same with the reply lost and the scheduler's queue in between.
+TEST_CASE(
+    "rejections: a retry that waits until its time is up is rejected only if any retry is in its window") {
+  for (const double window : {1.0, 3.0}) {
+    CAPTURE(window);
+    Settings settings = default_settings();
+    settings.profiles[kDeduplicatedProfile].dedup_window = window;
+    settings.profiles[kDeduplicatedProfile].dedup_scope = DedupScope::kFleet;
+    ControlFixture fixture(settings);
+    fixture.advance_to(101);
+    fixture.arrive(1, {.profile = kDeduplicatedProfile});
+    fixture.finish(1, Outcome::kError);
+    fixture.update_nodes(UpdateKind::kDelta, {node_entry(0, 0, NodeState::kDraining)});
+    fixture.advance_to(103);
+    CHECK(fixture.matches_trace(window < 2 ? "queued-retry-short-window" : "queued-retry-long-window"));
+  }
+}
+
 TEST_CASE("nodes: no dispatch to a draining node; its replacement gets the queued transactions") {
   ControlFixture fixture(default_settings());
   for (int i = 0; i < 5; ++i) fixture.arrive(i);
--- a/tests/platform/races_test.cpp
+++ b/tests/platform/races_test.cpp
@@ -501,3 +501,32 @@
   CHECK(fixture.send_and_wait(fixture.request("d")) == 200);
   CHECK(fixture.scheduler->node_connections().counts().reused == 1);
 }
+
+// Guards against a write that runs twice because it is refused, and tried again, after the nodes forgot it
+// (docs/incidents/refused-after-the-window.md).
+TEST_CASE(
+    "race: a write whose reply is lost is refused only if the nodes remember it for as long as its client") {
+  struct Row {
+    int window_us;
+    int expected_status;
+  };
+  for (const auto& [window_us, expected_status] :
+       {Row{1'000'000, 504}, Row{1'900'000, 504}, Row{5'000'000, 503}}) {
+    CAPTURE(window_us);
+    PlatformFixture fixture;
+    fixture.json["settings"]["request-classes"][1]["group"] = "all";
+    fixture.json["settings"]["request-classes"][1]["dedup-window"] = window_us;
+    fixture.node0.reply.clear();
+    fixture.start();
+    RawClient client(fixture.address);
+    REQUIRE(client.send(fixture.write("w", "1")));
+    REQUIRE(fixture.run_until([&] { return client.receive() == -1 && !client.input.empty(); }, 2.5));
+    CHECK(std::atoi(client.input.c_str() + 9) == expected_status);
+    CHECK(fixture.node0.received.size() == 1);
+    // One that was never dispatched is refused in any case.
+    fixture.discovery.push(
+        fixture.update_text(8, false, {fixture.entry_text("s-0", fixture.node0.server.address, 0, "Gone")}));
+    fixture.run_for(0.05);
+    CHECK(fixture.send_and_wait(fixture.write("v", "1")) == 503);
+  }
+}
