--- a/tests/platform/memory_process_test.cpp
+++ b/tests/platform/memory_process_test.cpp
@@ -6,7 +6,6 @@
 
 #include <csignal>
 #include <cstdio>
-#include <cstdlib>
 
 #include "process_fixture.h"
 
@@ -44,14 +43,9 @@
     const nlohmann::json config = test::process_config(memory_mb, descriptors, discovery_.server.address,
                                                        {node0_.address(), node1_.address()});
     address_ = *Address::parse(config["listen"].get<std::string>());
-    directory_ = "/tmp/heronworks-memory-" + std::to_string(::getpid());
-    process_ = std::make_unique<SchedulerProcess>(config, directory_);
+    process_ = std::make_unique<SchedulerProcess>(config, directory_.path());
     bad_.resize(static_cast<std::size_t>(descriptors / 3 - kOrdinaryClients));
   }
-  ~Play() {
-    process_.reset();
-    std::filesystem::remove_all(directory_);
-  }
 
   Result run() {
     REQUIRE(test::wait_until_ready(loop_, address_));
@@ -157,7 +151,7 @@
   DelayingNode node1_{loop_};
   test::ScriptedDiscovery discovery_{loop_};
   Address address_;
-  std::string directory_;
+  test::TemporaryDirectory directory_;
   std::unique_ptr<SchedulerProcess> process_;
   std::vector<Bad> bad_;
   std::vector<Ordinary> ordinary_;
--- a/tests/platform/process_fixture.h
+++ b/tests/platform/process_fixture.h
@@ -2,70 +2,98 @@
 // sanitizers.
 #pragma once
 
-#include <sys/wait.h>
-
-#include <csignal>
-#include <cstdio>
 #include <cstdlib>
 
+#include "child_process.h"
 #include "platform_fixture.h"
 
 namespace heronworks::test {
 
-// Replies to each request after kServiceSeconds.
+// Replies to each request after a while, and records the requests.
 class DelayingNode {
  public:
   static constexpr double kServiceSeconds = 0.05;
   static constexpr std::size_t kReplyBytes = 65536;
-  explicit DelayingNode(Loop& loop) : loop_(loop), server_(loop, [this](Peer& peer) { read(peer); }) {}
+  explicit DelayingNode(Loop& loop, double service_seconds = kServiceSeconds)
+      : service_seconds_(service_seconds), loop_(loop), server_(loop, [this](Peer& peer) { read(peer); }) {}
   const Address& address() const { return server_.address; }
+  void set_service_seconds(double seconds) { service_seconds_ = seconds; }
+  std::size_t received() const { return received_; }
+  std::size_t received(const std::string& call_id) const {
+    const auto found = received_by_id_.find(call_id);
+    return found == received_by_id_.end() ? 0 : found->second;
+  }
 
  private:
   void read(Peer& peer) {
     http::Reader reader(http::MessageKind::kRequest, {8192, platform::MemoryBudget::kMaxBodyBytes, 64});
     reader.put({reinterpret_cast<const std::uint8_t*>(peer.input.data()), peer.input.size()});
     if (!reader.done()) return;
+    ++received_;
+    if (const std::string* id = reader.message().find_field("X-Call-Id")) ++received_by_id_[*id];
     peer.input.clear();
-    loop_.run_at(loop_.now() + kServiceSeconds, [this, &peer] { peer.send(reply_); });
+    loop_.run_at(loop_.now() + service_seconds_, [this, &peer] { peer.send(reply_); });
   }
 
+  double service_seconds_;
+  std::size_t received_ = 0;
+  std::map<std::string, std::size_t> received_by_id_;
   Loop& loop_;
   const std::string reply_ = http_reply(200, std::string(kReplyBytes, 'y'));
   PeerServer server_;  // keeps closed connections
 };
 
-// `heronworks platform` with the given limits.
+// A directory that is removed with all that is in it.
+class TemporaryDirectory {
+ public:
+  TemporaryDirectory() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "heronworks-test-XXXXXX").string();
+    if (::mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("cannot create a temporary directory");
+    path_ = pattern;
+  }
+  ~TemporaryDirectory() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+  }
+  TemporaryDirectory(const TemporaryDirectory&) = delete;
+  TemporaryDirectory& operator=(const TemporaryDirectory&) = delete;
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+// `heronworks platform` with a configuration of process_config().
 class SchedulerProcess {
  public:
-  SchedulerProcess(const nlohmann::json& config, const std::string& directory) {
-    std::filesystem::create_directories(directory);
-    const std::string path = directory + "/config.json";
-    std::ofstream(path) << config.dump();
-    const std::string log = directory + "/log";
-    pid_ = ::fork();
-    if (pid_ != 0) return;
-    ::setenv("LB_CONFIG", path.c_str(), 1);
-    std::freopen(log.c_str(), "w", stdout);
-    std::freopen(log.c_str(), "a", stderr);
-    const char* program = std::getenv("HERONWORKS");
-    ::execl(program, program, "platform", nullptr);
-    std::_Exit(127);
+  // `environment` is added to that of this process.
+  SchedulerProcess(const nlohmann::json& config, const std::string& directory,
+                   std::map<std::string, std::string> environment = {})
+      : config_path_(directory + "/config.json"), log_path_(directory + "/log") {
+    write_config(config);
+    environment["LB_CONFIG"] = config_path_;
+    process_ = faults::ChildProcess::execute(
+        {{std::getenv("HERONWORKS"), "platform"}, std::move(environment), log_path_});
   }
-  ~SchedulerProcess() {
-    ::kill(pid_, SIGKILL);
-    ::waitpid(pid_, nullptr, 0);
+  // Replaces the configuration file at once, as a reload expects.
+  void write_config(const nlohmann::json& config) const {
+    std::ofstream(config_path_ + ".new") << config.dump();
+    std::filesystem::rename(config_path_ + ".new", config_path_);
   }
-  bool running() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
-  double anonymous_megabytes() const {
-    std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
-    for (std::string line; std::getline(file, line);) {
-      if (line.starts_with("RssAnon:")) return std::atof(line.c_str() + 8) / 1024;
-    }
-    return 0;
+  faults::ChildProcess& process() { return process_; }
+  bool running() { return process_.running(); }
+  pid_t pid() const { return process_.pid(); }
+  void signal(int number) const { process_.signal(number); }
+  double anonymous_megabytes() const { return faults::anonymous_megabytes(process_.pid()); }
+  std::string log() const {
+    std::ifstream file(log_path_);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
   }
 
  private:
-  pid_t pid_ = -1;
+  std::string config_path_;
+  std::string log_path_;
+  faults::ChildProcess process_;
 };
 
 // The configuration of a scheduler with a node for each shard.
--- a/tests/platform/refused_memory_test.cpp
+++ b/tests/platform/refused_memory_test.cpp
@@ -2,6 +2,8 @@
 // at once.
 #include <doctest/doctest.h>
 
+#include <csignal>
+
 #include "process_fixture.h"
 
 using namespace heronworks;
@@ -47,14 +49,9 @@
     config["settings"]["request-classes"][1]["sequential"] = flood.keeps_order;
     config["settings"]["rules"]["turn-gap"] = 500000;
     address_ = *Address::parse(config["listen"].get<std::string>());
-    directory_ = "/tmp/heronworks-refused-" + std::to_string(::getpid());
-    process_ = std::make_unique<SchedulerProcess>(config, directory_);
+    process_ = std::make_unique<SchedulerProcess>(config, directory_.path());
     clients_.resize(kFloodingClients + kLeavingClients + kOrdinaryClients);
   }
-  ~Play() {
-    process_.reset();
-    std::filesystem::remove_all(directory_);
-  }
 
   Result run() {
     REQUIRE(test::wait_until_ready(loop_, address_));
@@ -148,7 +145,7 @@
   DelayingNode node1_{loop_};
   test::ScriptedDiscovery discovery_{loop_};
   Address address_;
-  std::string directory_;
+  test::TemporaryDirectory directory_;
   std::unique_ptr<SchedulerProcess> process_;
   std::vector<Client> clients_;
   Result result_;
