A call id is refused until no dispatch of its first request can be under way

Callers saw: a client leaves 0.4 s after it sent a read, the same id comes on another connection, and is answered 200 as if it were a request of its own. The node had the id twice. A client that repeats an id whenever it is refused got 200 as soon as the first client had left.

Cause: Scheduler::on_client_closed and ::reply forgot the id at once, though a dispatch of the transaction could be in flight.

CallIdTable knows an id from the begin of its transaction until the longest deadline and 0.5 s after Control has released it, that is after the last dispatch has its outcome. Bounded in number, dispatched and refused ones apart. A request that was never read, as after a close that crossed it, leaves no id and is served.

NVMe/TCP: a command's identifier belongs to its connection's queue and ends with it.

--- a/src/platform/scheduler.cpp
+++ b/src/platform/scheduler.cpp
@@ -51,6 +51,15 @@
   return retention;
 }
 
+// Until then a dispatch that its scheduler gave up may still reach a node: its own deadline tells the node
+// when to drop it, and an answer up to half a second later still counts as one.
+double call_id_retention(const Settings& settings) {
+  constexpr double kAnswerSlackSeconds = 0.5;
+  double longest = 0;
+  for (const Profile& profile : settings.profiles) longest = std::max(longest, profile.deadline);
+  return longest + kAnswerSlackSeconds;
+}
+
 // Reads /proc/self/schedstat, which is in nanoseconds. Returns zeros if it is not available.
 CpuTime process_cpu_time() {
   std::ifstream file("/proc/self/schedstat");
@@ -90,7 +99,8 @@
                                [](const Profile& profile) { return profile.ordered_by_key; })),
       descriptors_(config_.max_descriptors),
       memory_(config_.memory_bytes, descriptors_.limit_per_user()),
-      volumes_(volume_retention(config_.settings())) {
+      volumes_(volume_retention(config_.settings())),
+      call_ids_(call_id_retention(config_.settings()), config_.settings().seed) {
   Fd listener = listen_on(config_.listen, 1024);
   if (!listener)
     throw std::runtime_error("cannot listen on " + config_.listen.to_string() + ": " + std::strerror(errno));
@@ -183,7 +193,10 @@
     return reply_error(error->status, error->reason);
   }
   ParsedRequest& parsed = std::get<ParsedRequest>(result);
-  if (by_call_id_.contains(parsed.call_id)) return reply_error(409, "X-Call-Id is open");
+  if (call_ids_.contains(now(), parsed.call_id)) {
+    ++counts_.repeated_call_ids;
+    return reply_error(409, "X-Call-Id was used before");
+  }
   const VolumeName volume{parsed.volume, parsed.transaction.plan};
   const auto assignment = volumes_.acquire(now(), volume);
   if (!assignment) {
@@ -208,7 +221,7 @@
   slot.call_id = parsed.call_id;
   slot.request = std::move(held);
   by_client_[client] = id;
-  by_call_id_[parsed.call_id] = id;
+  call_ids_.begin(parsed.call_id);
   ++counts_.arrived;
   control_->transaction_arrived(now(), id, parsed.transaction);
 }
@@ -252,7 +265,6 @@
   const int id = found->second;
   Slot& slot = slots_[id];
   by_client_.erase(found);
-  by_call_id_.erase(slot.call_id);
   slot.answered = true;
   slot.request.reset();
   const int node = slot.node;
@@ -270,7 +282,6 @@
   slot.answered = true;
   slot.request.reset();
   by_client_.erase(slot.client);
-  by_call_id_.erase(slot.call_id);
   client_server_->reply(slot.client, std::move(reply));
 }
 
@@ -313,7 +324,9 @@
 }
 
 void Scheduler::release(int transaction) {
-  volumes_.release(now(), slots_[transaction].volume);
+  const Slot& slot = slots_[transaction];
+  volumes_.release(now(), slot.volume);
+  call_ids_.end(now(), slot.call_id, slot.dispatches > 0);
   slots_.release(transaction);
 }
 
@@ -424,6 +437,8 @@
              {"abandoned", since(&Counts::abandoned)},
              {"dispatched", since(&Counts::dispatched)},
              {"refused", since(&Counts::invalid)},
+             {"repeated_ids", since(&Counts::repeated_call_ids)},
+             {"known_ids", call_ids_.size()},
              {"at_door", since(&Counts::rejected_at_admission)},
              {"outcomes", outcomes},
              {"cpu", cpu.used - logged_cpu_.used},
--- a/src/platform/scheduler.h
+++ b/src/platform/scheduler.h
@@ -9,6 +9,7 @@
 #include "host/slot_table.h"
 #include "host/watchdog.h"
 #include "log/log.h"
+#include "platform/call_id_table.h"
 #include "platform/client_server.h"
 #include "platform/config.h"
 #include "platform/discovery_client.h"
@@ -27,6 +28,7 @@
   std::uint64_t abandoned = 0;
   std::uint64_t dispatched = 0;
   std::uint64_t invalid = 0;                // requests that are not a transaction; answered with an error
+  std::uint64_t repeated_call_ids = 0;      // part of invalid
   std::uint64_t rejected_at_admission = 0;  // before the decision module saw them
   std::uint64_t outcomes[8] = {};           // of dispatches, by Outcome
 };
@@ -128,12 +130,12 @@
   std::unique_ptr<DiscoveryClient> discovery_;
   std::unique_ptr<Control> control_;
   std::unique_ptr<ClientServer> client_server_;
-  SlotTable<Slot> slots_;                            // by transaction
-  std::unordered_map<ClientId, int> by_client_;      // unanswered transactions
-  std::unordered_map<std::string, int> by_call_id_;  // unanswered transactions
-  std::unordered_map<ClientId, int> key_places_;     // of requests that have arrived, but are not read yet
-  NodeIndexTable node_indices_;                      // by endpoint id
-  std::map<std::string, int> zone_indices_;          // at most kMaxZones
+  SlotTable<Slot> slots_;                        // by transaction
+  std::unordered_map<ClientId, int> by_client_;  // unanswered transactions
+  CallIdTable call_ids_;
+  std::unordered_map<ClientId, int> key_places_;  // of requests that have arrived, but are not read yet
+  NodeIndexTable node_indices_;                   // by endpoint id
+  std::map<std::string, int> zone_indices_;       // at most kMaxZones
   Loop::TimerId wake_timer_ = 0;
   std::unique_ptr<Watchdog> watchdog_;
   Loop::TimerId log_timer_ = 0;
--- a/tests/platform/process_fixture.h
+++ b/tests/platform/process_fixture.h
@@ -14,8 +14,12 @@
  public:
   static constexpr double kServiceSeconds = 0.05;
   static constexpr std::size_t kReplyBytes = 65536;
-  explicit DelayingNode(Loop& loop, double service_seconds = kServiceSeconds)
-      : service_seconds_(service_seconds), loop_(loop), server_(loop, [this](Peer& peer) { read(peer); }) {}
+  explicit DelayingNode(Loop& loop, double service_seconds = kServiceSeconds,
+                        std::size_t reply_bytes = kReplyBytes)
+      : service_seconds_(service_seconds),
+        loop_(loop),
+        reply_(http_reply(200, std::string(reply_bytes, 'y'))),
+        server_(loop, [this](Peer& peer) { read(peer); }) {}
   const Address& address() const { return server_.address; }
   void set_service_seconds(double seconds) { service_seconds_ = seconds; }
   std::size_t received() const { return received_; }
@@ -39,7 +43,7 @@
   std::size_t received_ = 0;
   std::map<std::string, std::size_t> received_by_id_;
   Loop& loop_;
-  const std::string reply_ = http_reply(200, std::string(kReplyBytes, 'y'));
+  const std::string reply_;
   PeerServer server_;  // keeps closed connections
 };
 
--- a/tests/platform/repeated_id_test.cpp
+++ b/tests/platform/repeated_id_test.cpp
@@ -18,11 +18,12 @@
 constexpr double kServiceSeconds = 1.0;  // of the node
 constexpr double kLeaveAfterSeconds = 0.4;
 constexpr double kAnswerSeconds = 3;
+constexpr std::size_t kReplyBytes = 4;  // so that a reply comes whole
 constexpr int kOk = 200;
 
 class Play {
  public:
-  Play() : loop_(clock_), node_(loop_, kServiceSeconds), discovery_(loop_) {
+  Play() : loop_(clock_), node_(loop_, kServiceSeconds, kReplyBytes), discovery_(loop_) {
     nlohmann::json config = test::process_config(96, 512, discovery_.server.address, {node_.address()});
     for (const char* name : {"give-up", "dedup-window"}) {
       for (auto& profile : config["settings"]["request-classes"]) profile[name] = 5000000;
--- a/tests/platform/request_forms_test.cpp
+++ b/tests/platform/request_forms_test.cpp
@@ -20,7 +20,8 @@
 
 namespace {
 
-constexpr double kAnswerSeconds = 3;  // owed to a client that sends what is invalid
+constexpr double kAnswerSeconds = 3;    // owed to a client that sends what is invalid
+constexpr std::size_t kReplyBytes = 4;  // so that a reply comes whole
 constexpr int kOk = 200;
 const std::string kVolume = "00000003b4d60021";
 const std::string kKey = "7f3a9c21e0b4d655";
@@ -463,7 +464,7 @@
 
 class Play {
  public:
-  Play() : loop_(clock_), node_(loop_, 0), discovery_(loop_) {
+  Play() : loop_(clock_), node_(loop_, 0, kReplyBytes), discovery_(loop_) {
     const nlohmann::json config =
         test::process_config(96, 512, discovery_.server.address, {node_.address(), node_.address()});
     address_ = *Address::parse(config["listen"].get<std::string>());
