--- a/src/http/message.h
+++ b/src/http/message.h
@@ -15,13 +15,18 @@
   bool operator==(const Field&) const = default;
 };
 
+// Why a message can't be read.
+enum class ParseError { kNone, kMalformed, kHeadTooLarge, kBodyTooLarge };
+
 struct Message {
   std::string method;         // requests only
   std::string target;         // requests only; not decoded
   int status = 0;             // responses only
+  int minor_version = 1;      // of HTTP/1.x
   bool keep_alive = true;     // whether the connection can carry another message after this one
-  std::vector<Field> fields;  // of the header section; trailer fields are discarded
-  std::string body;           // content, without chunked framing
+  std::vector<Field> fields;  // of the header section
+  std::vector<Field> trailer_fields;
+  std::string body;  // content, without chunked framing
 
   // The value of the first field with this name, nullptr if there is none. Names are case-insensitive.
   const std::string* find_field(std::string_view name) const;
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -1,10 +1,12 @@
-// Incremental reader of HTTP/1.1 messages (RFC 9112) with size limits, on top of Boost.Beast's parser.
+// Incremental reader of HTTP/1.1 messages (RFC 9112) with size limits, on top of Boost.Beast's parser for
+// heads and ChunkedDecoder.
 //
 // Stricter than the RFC requires, so that this reader and others on the path cannot disagree on where a
 // message ends (request smuggling). It rejects a bare CR or LF, line folding (5.2), control characters in the
-// head, more than one Content-Length or Transfer-Encoding, both together (6.1), and any transfer coding but
-// `chunked`. A response with neither field ends when the peer closes the connection in order (6.3), see
-// put_eof(). Interim (1xx) responses (RFC 9110, 15.2) are skipped, except 101, which is rejected.
+// head, more than one Content-Length or Transfer-Encoding, both together (6.1), a Content-Length that is a
+// list, and any transfer coding but `chunked`. A response with neither field ends when the peer closes the
+// connection in order (6.3), see put_eof(). Interim (1xx) responses (RFC 9110, 15.2) are skipped, except 101,
+// which is rejected.
 #pragma once
 
 #include <cstdint>
@@ -13,18 +15,18 @@
 #include <span>
 #include <string>
 
+#include "http/chunked_decoder.h"
 #include "http/message.h"
 
 namespace heronworks::http {
 
 struct MessageLimits {
-  std::size_t head_bytes = 8192;   // start line and header fields
+  std::size_t head_bytes = 8192;   // start line and header fields; the same for trailer fields
   std::size_t body_bytes = 65536;  // content, without chunked framing
-  std::size_t fields = 64;
+  std::size_t fields = 64;         // in the head; the same for trailer fields
 };
 
 enum class MessageKind { kRequest, kResponse };
-enum class ParseError { kNone, kMalformed, kHeadTooLarge, kBodyTooLarge };
 
 class Reader {
  public:
@@ -71,12 +73,16 @@
   std::string& body();
   bool scan_head(std::span<const std::uint8_t> bytes);
   void parse_head(std::span<const std::uint8_t> head);
+  std::size_t put_body(std::span<const std::uint8_t> bytes);
+  std::size_t put_chunked(std::span<const std::uint8_t> bytes);
+  bool body_done() const;
   void fail(ParseError error, std::string message);
   void reset();
 
   MessageKind kind_;
   MessageLimits limits_;
-  std::unique_ptr<Parser> parser_;  // set from the end of the head to the end of the message
+  std::unique_ptr<Parser> parser_;         // set from the end of the head to the end of the message
+  std::optional<ChunkedDecoder> chunked_;  // likewise, if the body has that coding
   Message message_;
   std::size_t scanned_ = 0;     // bytes of the head that were scanned but not yet consumed
   int line_length_ = 0;         // of the line being scanned, without CR and LF
--- a/src/number.h
+++ b/src/number.h
@@ -25,4 +25,12 @@
   return number;
 }
 
+// The same for whole numbers in decimal digits alone, without a sign.
+template <typename Number>
+std::optional<Number> read_whole_number(std::string_view text) {
+  static_assert(std::is_integral_v<Number>);
+  if (!text.empty() && text.front() == '-') return std::nullopt;
+  return read_number<Number>(text);
+}
+
 }  // namespace heronworks
--- a/src/platform/request_parser.h
+++ b/src/platform/request_parser.h
@@ -3,22 +3,20 @@
 
 #include <variant>
 
-#include "http/message.h"
+#include "http/request_rules.h"
 #include "platform/config.h"
 
 namespace heronworks::platform {
 
 struct ParsedRequest {
-  std::string call_id;  // assigned by the client
+  std::string call_id;           // assigned by the client
+  std::string_view node_target;  // the origin form of the request's target; refers to the request
   std::uint64_t volume = 0;
   Transaction transaction;  // without the volume's index
 };
 
-struct RequestError {
-  int status = 0;      // of the HTTP response
-  std::string reason;  // the field at fault; sent as the response's body
-};
-
-std::variant<ParsedRequest, RequestError> parse_request(const http::Message& request, const Config& config);
+// A fault's reason names the field; it is sent as the response's body.
+std::variant<ParsedRequest, http::RequestFault> parse_request(const http::Message& request,
+                                                              const Config& config);
 
 }  // namespace heronworks::platform
--- a/src/platform/scheduler.cpp
+++ b/src/platform/scheduler.cpp
@@ -189,8 +189,8 @@
     client_server_->reply(client, {status, "", shared_bytes(reason + "\n")});
   };
   auto result = parse_request(request, config_);
-  if (const auto* error = std::get_if<RequestError>(&result)) {
-    return reply_error(error->status, error->reason);
+  if (const auto* fault = std::get_if<http::RequestFault>(&result)) {
+    return reply_error(fault->status, fault->reason);
   }
   ParsedRequest& parsed = std::get<ParsedRequest>(result);
   if (call_ids_.contains(now(), parsed.call_id)) {
@@ -219,6 +219,7 @@
   slot.deadline = now() + std::min(parsed.transaction.time_left, profile.deadline);
   slot.volume = volume;
   slot.call_id = parsed.call_id;
+  slot.node_target = parsed.node_target;
   slot.request = std::move(held);
   by_client_[client] = id;
   call_ids_.begin(parsed.call_id);
@@ -299,7 +300,9 @@
   slot.node = node;
   const http::Message& request = slot.request->message;
   http::Writer writer(dispatch.head);
-  writer.request_line(request.method, request.target).field("Host", "node").field("X-Call-Id", slot.call_id);
+  writer.request_line(request.method, slot.node_target)
+      .field("Host", "node")
+      .field("X-Call-Id", slot.call_id);
   dispatch.budget_field_offset = dispatch.head.size();
   for (const char* name : {"X-Call-Class", "Tier", "IO-Info", "Idempotency-Key", "Content-Type"}) {
     if (const std::string* value = request.find_field(name)) writer.field(name, *value);
--- a/src/platform/scheduler.h
+++ b/src/platform/scheduler.h
@@ -106,7 +106,8 @@
     double deadline = 0;  // when the client stops waiting
     VolumeName volume;
     std::string call_id;
-    HeldMessagePtr request;  // until it is answered
+    HeldMessagePtr request;        // until it is answered
+    std::string_view node_target;  // part of the request
   };
 
   double now() const { return loop_.iteration_time(); }
