A volume's index is reused as soon as its limit is refilled, not after 30 s

Callers saw: while one client sends valid requests under ever new volumes, requests of volumes that are not in the table are refused with 503 for half a minute: 4,096 new names fill it in about a second at full speed, and each stayed for 30 s or two refills of a whole burst.

Cause: one retention for all volumes of all plans, as long as the slowest refill. It is only needed so that a volume that returns has not won tokens of its limit.

Each volume now knows when what was dispatched for it has been refilled (twice the units over its slice of the limit, nothing without a limit).

--- a/src/platform/scheduler.cpp
+++ b/src/platform/scheduler.cpp
@@ -24,7 +24,6 @@
 constexpr double kDrainEndSlackSeconds = 0.65;   // connections without an open request are closed
 constexpr double kDrainAcceptSeconds = 0.6;      // after SIGTERM
 constexpr double kRemovedNodeRetentionSeconds = 10.0;
-constexpr double kMinVolumeRetentionSeconds = 30.0;
 constexpr std::size_t kMaxZones = 256;
 constexpr int kRejectedStatus = 503;
 constexpr int kExpiredStatus = 504;
@@ -42,13 +41,13 @@
 // Keeps the whole message, and so its charge, until the body is written.
 SharedBytes body_of(const HeldMessagePtr& held) { return {held, &held->message.body}; }
 
-// Long enough for the token bucket of each plan to refill.
-double volume_retention(const Settings& settings) {
-  double retention = kMinVolumeRetentionSeconds;
-  for (const Plan& plan : settings.plans) {
-    if (plan.limit > 0) retention = std::max(retention, 2 * plan.burst / plan.limit);
-  }
-  return retention;
+// How long a scheduler's slice of the volume's limit takes to refill by what the transaction spends, with
+// some reserve; 0: no limit.
+double refill_seconds(const Settings& settings, const Transaction& transaction) {
+  constexpr double kReserve = 2;
+  const Plan& plan = settings.plans[static_cast<std::size_t>(transaction.plan)];
+  const int schedulers = std::max({settings.scheduler_count, transaction.volume_schedulers, 1});
+  return plan.limit > 0 ? kReserve * transaction.units * schedulers / plan.limit : 0;
 }
 
 // Until then a dispatch that its scheduler gave up may still reach a node: its own deadline tells the node
@@ -99,7 +98,6 @@
                                [](const Profile& profile) { return profile.ordered_by_key; })),
       descriptors_(config_.max_descriptors),
       memory_(config_.memory_bytes, descriptors_.limit_per_user()),
-      volumes_(volume_retention(config_.settings())),
       call_ids_(call_id_retention(config_.settings()), config_.settings().seed) {
   Fd listener = listen_on(config_.listen, 1024);
   if (!listener)
@@ -198,7 +196,7 @@
     return reply_error(409, "X-Call-Id was used before");
   }
   const VolumeName volume{parsed.volume, parsed.transaction.plan};
-  const auto assignment = volumes_.acquire(now(), volume);
+  const auto assignment = volumes_.acquire(volume, now());
   if (!assignment) {
     ++counts_.rejected_at_admission;
     return client_server_->reply(
@@ -222,6 +220,7 @@
   slot.node_target = parsed.node_target;
   slot.request = std::move(held);
   by_client_[client] = id;
+  slot.refill_seconds = refill_seconds(config_.settings(), parsed.transaction);
   call_ids_.begin(parsed.call_id);
   ++counts_.arrived;
   control_->transaction_arrived(now(), id, parsed.transaction);
@@ -291,7 +290,7 @@
 void Scheduler::dispatch(int transaction, int node, double timeout) {
   Slot& slot = slots_[transaction];
   ++counts_.dispatched;
-  volumes_.retain(slot.volume);
+  volumes_.spend(slot.volume, now(), slot.refill_seconds);
   NodeDispatch dispatch;
   dispatch.transaction = transaction;
   dispatch.number = slot.dispatches++;
@@ -328,7 +327,7 @@
 
 void Scheduler::release(int transaction) {
   const Slot& slot = slots_[transaction];
-  volumes_.release(now(), slot.volume);
+  volumes_.release(slot.volume);
   call_ids_.end(now(), slot.call_id, slot.dispatches > 0);
   slots_.release(transaction);
 }
--- a/src/platform/scheduler.h
+++ b/src/platform/scheduler.h
@@ -106,6 +106,7 @@
     double deadline = 0;  // when the client stops waiting
     VolumeName volume;
     std::string call_id;
+    double refill_seconds = 0;  // see VolumeIndexTable::spend()
     HeldMessagePtr request;        // until it is answered
     std::string_view node_target;  // part of the request
   };
