Connections after their last answer give up their descriptors first

Cause: a connection that has had an error answer lingers for 2 s on a client's descriptor, and was evicted after all idle ones. Clients that connect again at once take all descriptors so.

Why it works: such connections are evicted first, and more than 64 of them end the oldest.

--- a/src/platform/client_server.cpp
+++ b/src/platform/client_server.cpp
@@ -181,6 +181,7 @@
     idle_since = server.loop_.now();
     stream.half_close();
     stream.pause(false);
+    if (!closed_idle) server.limit_lingering(id);
   }
 
   ClientServer& server;
@@ -301,17 +302,18 @@
   return was_held_up ? stream.peer_has_shut_down_by_now() : stream.peer_has_shut_down();
 }
 
-// Guards against idle clients that hold all descriptors. Evicts the connection that has been idle for the
-// longest time, of a client that sent invalid requests first; one with an incomplete request only if there is
-// no other. Returns false if all connections have an open request or an unsent reply.
+// Guards against clients that hold all descriptors. Evicts connections that have had their last answer first,
+// then those of clients that sent invalid requests, then idle ones, and such with an incomplete request only
+// if there is no other; the longest idle of each kind. Returns false if all connections have an open request
+// or an unsent reply.
 bool ClientServer::evict_idle_connection() {
   Client* best = nullptr;
   const auto rank = [](const Client& c) {
-    const int kind = c.closed_idle                          ? 0
-                     : c.state == Client::State::kLingering ? 3
+    const int kind = c.closed_idle                          ? 1
+                     : c.state == Client::State::kLingering ? 0
                      : c.receives_request()                 ? 4
-                     : c.error_throttle.errors() > 0        ? 1
-                                                            : 2;
+                     : c.error_throttle.errors() > 0        ? 2
+                                                            : 3;
     return std::pair(kind, c.idle_since);
   };
   for (auto& [id, c] : clients_) {
@@ -399,6 +401,18 @@
   c.linger();
 }
 
+// Clients that go on sending after their last answer do not take the descriptors of others: beyond the bound
+// the longest lingering connection is closed.
+void ClientServer::limit_lingering(ClientId newest) {
+  std::erase_if(lingering_, [&](ClientId id) { return !clients_.contains(id); });
+  if (lingering_.size() >= kMaxLingering) {
+    const ClientId oldest = lingering_.front();
+    lingering_.pop_front();
+    loop_.defer([this, oldest] { remove(oldest); });
+  }
+  lingering_.push_back(newest);
+}
+
 void ClientServer::remove(ClientId client) {
   const auto found = clients_.find(client);
   if (found == clients_.end()) return;
--- a/src/platform/client_server.h
+++ b/src/platform/client_server.h
@@ -103,6 +103,7 @@
   void accept(Fd fd);
   bool evict_idle_connection();
   bool is_last_reply(const Client& client) const;
+  void limit_lingering(ClientId newest);
   void reply_error(Client& client, int status, const std::string& reason);
   void close_idle(Client& client);
   void remove(ClientId client);
@@ -132,6 +133,7 @@
   // What a client still sends after an error reply is discarded for this long, so that no reset overtakes the
   // reply. kLateStartSeconds applies instead at the end of a drain.
   static constexpr double kErrorLingerSeconds = 2.0;
+  static constexpr std::size_t kMaxLingering = 64;  // connections, after an error or a last reply
   static constexpr std::size_t kMaxDiscardedBytes = std::size_t{96} << 20;
   static constexpr double kDrainCheckPeriodSeconds = 0.02;
   static constexpr double kTimeoutCheckPeriodSeconds = 0.1;
@@ -145,8 +147,9 @@
   std::unique_ptr<Listener> listener_;
   std::map<ClientId, std::unique_ptr<Client>> clients_;  // bounded by descriptors_
   std::vector<std::unique_ptr<Client>> closed_;          // freed later in this loop iteration
-  std::deque<ClientId> evicted_;  // still lingering, oldest first; at most kReservedForEvicted
-  std::deque<ClientId> waiting_;  // for memory; bounded by descriptors_
+  std::deque<ClientId> lingering_;  // after their last reply, the oldest first; at most kMaxLingering
+  std::deque<ClientId> evicted_;    // still lingering, oldest first; at most kReservedForEvicted
+  std::deque<ClientId> waiting_;    // for memory; bounded by descriptors_
   struct Pause {
     ClientId client = 0;
     double ends_at = 0;
--- a/tests/faults/flood_test.cpp
+++ b/tests/faults/flood_test.cpp
@@ -47,14 +47,15 @@
 };
 
 const std::vector<Row> kRows = {
-    {FloodKind::kBareRequest, 6, kWholeCore},      {FloodKind::kBareRequest, 60, kWholeCore},
-    {FloodKind::kUnknownClass, 6, kWholeCore},     {FloodKind::kNewNames, 6, kWholeCore},
-    {FloodKind::kOneByteChunks, 6, kWholeCore},    {FloodKind::kLargeBody, 6, kWholeCore},
-    {FloodKind::kConnection, 60, kWholeCore},      {FloodKind::kManyFields, 6, kWholeCore},
-    {FloodKind::kIncompleteWrites, 6, kWholeCore}, {FloodKind::kBareRequest, 6, kQuarter},
-    {FloodKind::kUnknownClass, 6, kQuarter},       {FloodKind::kNewNames, 6, kQuarter},
-    {FloodKind::kOneByteChunks, 60, kQuarter},     {FloodKind::kConnection, 60, kQuarter},
-    {FloodKind::kBareRequest, 6, kEighth},         {FloodKind::kUnknownClass, 60, kEighth},
+    {FloodKind::kBareRequest, 6, kWholeCore},   {FloodKind::kBareRequest, 60, kWholeCore},
+    {FloodKind::kUnknownClass, 6, kWholeCore},  {FloodKind::kNewNames, 6, kWholeCore},
+    {FloodKind::kOneByteChunks, 6, kWholeCore}, {FloodKind::kLargeBody, 6, kWholeCore},
+    {FloodKind::kConnection, 60, kWholeCore},   {FloodKind::kNoise, 60, kWholeCore},
+    {FloodKind::kManyFields, 6, kWholeCore},    {FloodKind::kIncompleteWrites, 6, kWholeCore},
+    {FloodKind::kBareRequest, 6, kQuarter},     {FloodKind::kUnknownClass, 6, kQuarter},
+    {FloodKind::kNewNames, 6, kQuarter},        {FloodKind::kOneByteChunks, 60, kQuarter},
+    {FloodKind::kConnection, 60, kQuarter},     {FloodKind::kNoise, 60, kQuarter},
+    {FloodKind::kBareRequest, 6, kEighth},      {FloodKind::kUnknownClass, 60, kEighth},
 };
 
 std::vector<Row> rows_to_play() {
--- a/tests/platform/turns_test.cpp
+++ b/tests/platform/turns_test.cpp
@@ -110,6 +110,30 @@
   CHECK(ordinary.input.starts_with("HTTP/1.1 200"));
 }
 
+// Guards against idle and new connections that are closed while refused clients keep theirs.
+TEST_CASE("descriptors: a connection that has had its last answer makes way before one that is idle") {
+  constexpr int kDescriptors = 64;
+  PlatformFixture fixture(kDescriptors);
+  fixture.start();
+  RawClient idle(fixture.address);
+  fixture.run_once();
+  REQUIRE(idle.send(fixture.request("a")));
+  REQUIRE(fixture.run_until([&] { return idle.receive() == -1 && !idle.input.empty(); }));
+  idle.input.clear();
+  std::vector<std::unique_ptr<RawClient>> refused;
+  for (int i = 0; i < kDescriptors; ++i) {
+    refused.push_back(std::make_unique<RawClient>(fixture.address));
+    fixture.run_once();
+    REQUIRE(refused.back()->send("noise\r\n\r\n"));
+    fixture.run_for(0.005);
+  }
+  CHECK(fixture.scheduler->client_server().counts().evicted > 0);
+  CHECK(fixture.scheduler->client_server().counts().closed_idle == 0);
+  REQUIRE(idle.send(fixture.request("b")));
+  REQUIRE(fixture.run_until([&] { return idle.receive() == -1 && !idle.input.empty(); }));
+  CHECK(idle.input.starts_with("HTTP/1.1 200"));
+}
+
 // Guards against requests that are sent on although their client has left, wherever they are by then
 // (docs/incidents/d781eb.md).
 TEST_CASE("departure: of sixty pipelined requests nothing is sent on after their client has left") {
