NVMe/TCP: connections take turns, and only commands that keep order wait for others

Cause: the same as over HTTP: all commands were put in the global order of arrival, whether their profile keeps order or not.

Change: the target passes commands on as connections have their turns (one read, 8 PDUs), the gateway holds those of ordered profiles until what arrived earlier has been read. Receive timestamps are taken only where a profile needs them.

--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -25,6 +25,8 @@
   options.max_connections = static_cast<std::size_t>(config.max_connections);
   options.retry_delay = config.settings.max_retry_after / 16;
   options.arrival_source = nvme::ArrivalSource::kEarliestPossible;
+  options.receive_timestamps = std::any_of(config.settings.profiles.begin(), config.settings.profiles.end(),
+                                           [](const Profile& profile) { return profile.ordered_by_key; });
   // The transfer limit, 4096 << mdts bytes, must admit the largest transaction.
   const double largest = config.settings.max_transaction_units * config.unit_blocks * config.block_bytes;
   options.mdts = static_cast<std::uint8_t>(std::clamp(std::ceil(std::log2(largest / 4096)), 0.0, 12.0));
@@ -93,6 +95,7 @@
   loop_.cancel(report_timer_);
   loop_.cancel(delayed_response_timer_);
   loop_.cancel(drain_timer_);
+  loop_.cancel_deliveries(*this);
 }
 
 void Scheduler::drain(std::function<void()> done) {
@@ -228,7 +231,7 @@
       client_time_left > 0
           ? client_time_left
           : config_.settings.profiles[static_cast<std::size_t>(transaction.profile)].deadline;
-  transaction.time_left = time_left - std::max(now() - command.arrived_at, 0.0) - config_.response_margin;
+  transaction.time_left = time_left - config_.response_margin;
 
   const int id = transactions_.allocate();
   PendingTransaction& pending = transactions_[id];
@@ -239,7 +242,7 @@
   pending.shard = transaction.shard;
   pending.rule = match->rule;
   pending.transaction = transaction;
-  pending.arrived_at = now();
+  pending.time_left_from = command.arrived_at;
   pending.has_generated_idempotency_key = pending.sqe.idempotency_key() == 0;
   if (pending.has_generated_idempotency_key)
     pending.sqe.set_idempotency_key(++last_generated_idempotency_key_);
@@ -247,8 +250,27 @@
   pending.tenant = match->tenant;
   admission_.acquire(pending.tenant, bytes);
   unanswered_[command.connection].insert(id);
+  const Profile& profile = config_.settings.profiles[static_cast<std::size_t>(transaction.profile)];
+  if (!profile.ordered_by_key || !transaction.has_key) return pass_on(id);
+  pending.awaits_order = true;
+  loop_.deliver_in_order(command.arrival, *this, static_cast<std::uint64_t>(id));
+}
+
+void Scheduler::on_arrival(std::uint64_t transaction) {
+  const int id = static_cast<int>(transaction);
+  transactions_[id].awaits_order = false;
+  if (transactions_[id].answered) return release(id);
+  pass_on(id);
+}
+
+void Scheduler::pass_on(int transaction) {
+  PendingTransaction& pending = transactions_[transaction];
+  pending.arrived_at = now();
+  pending.transaction.time_left -= std::max(now() - pending.time_left_from, 0.0);
   ++counts_.arrived;
-  control_->transaction_arrived(now(), id, transaction);
+  // A copy: the decision module may release the transaction at once.
+  const Transaction arrived = pending.transaction;
+  control_->transaction_arrived(now(), transaction, arrived);
 }
 
 void Scheduler::connection_established(nvme::ConnectionId connection, const std::string& host, bool admin,
@@ -270,7 +292,7 @@
     if (!pending.in_use || pending.answered) continue;
     pending.answered = true;
     ++counts_.abandoned;
-    control_->transaction_abandoned(now(), id);
+    if (!pending.awaits_order) control_->transaction_abandoned(now(), id);
   }
 }
 
@@ -533,7 +555,10 @@
              {"at_ledger", since(&Counts::rejected_by_ledger)},
              {"ahead", since(&Counts::answered_before_durable)},
              {"open", open()},
+             {"refused", since(&Counts::refused)},
+             {"paused", target_->throttled() - reported_throttled_},
              {"clients", target_->connection_count()}});
+  reported_throttled_ = target_->throttled();
   reported_counts_ = counts_;
   report_timer_ = loop_.run_at(loop_.now() + kReportInterval, [this] { log_counts(); });
 }
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -44,7 +44,8 @@
                         public nvme::Backend,
                         public NodeConnectionOwner,
                         public EndpointListOwner,
-                        public ledger::LedgerServiceOwner {
+                        public ledger::LedgerServiceOwner,
+                        private ArrivalHandler {
  public:
   // Throws std::runtime_error if it cannot listen.
   Scheduler(Loop& loop, const config::GatewayConfig& config, Log& log);
@@ -84,6 +85,7 @@
   struct PendingTransaction {
     bool in_use = false;
     bool answered = false;
+    bool awaits_order = false;                   // the decision module does not know it yet
     bool has_generated_idempotency_key = false;  // as the client gave none
     nvme::ConnectionId connection = 0;
     nvme::Sqe sqe;
@@ -95,6 +97,7 @@
     int rule = -1;
     Transaction transaction;  // as it arrived; its time_left counts from `arrived_at`
     double arrived_at = 0;
+    double time_left_from = 0;  // s; the client's time left counts from then
   };
   // A response that is held until its ledger entry is durable, or until `hold_until`.
   struct DelayedResponse {
@@ -123,6 +126,9 @@
   void on_ledger_read_only_changed(bool read_only, const std::string& reason) override;
   void on_ledger_event(const char* event, const std::string& text) override;
 
+  // ArrivalHandler: all that arrived before the transaction has been read.
+  void on_arrival(std::uint64_t transaction) override;
+  void pass_on(int transaction);
   void record_and_answer(PendingTransaction& pending, std::uint64_t result, nvme::Bytes&& data);
   void send_overdue_responses();
   void mark_answered(PendingTransaction& pending);
@@ -162,6 +168,7 @@
   std::unique_ptr<Watchdog> watchdog_;
   Counts counts_;
   Counts reported_counts_;
+  std::uint64_t reported_throttled_ = 0;
   std::function<void()> drain_done_;
   std::uint64_t last_generated_idempotency_key_ = 0;
 };
--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -39,6 +39,7 @@
   o.subnqn = kNodeSubsystem;
   o.mdts = 8;
   o.arrival_source = nvme::ArrivalSource::kKernelTimestamp;
+  o.receive_timestamps = true;
   target_ = std::make_unique<nvme::Target>(loop, std::move(fd), o, *this);
   const auto lifetimes = node_lifetimes(scenario, options.number);
   up_since_ =
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -179,8 +179,10 @@
 
 void Loop::note_poll() {
   iteration_time_ = clock_.now();
-  previous_poll_arrival_time_ = arrival_clock_.now();
-  arrival_clock_.observe(read_clocks());
+  if (tracks_arrivals_) {
+    previous_poll_arrival_time_ = arrival_clock_.now();
+    arrival_clock_.observe(read_clocks());
+  }
   const double previous_poll_time = std::exchange(last_poll_time_, iteration_time_);
   if (iteration_time_ - previous_poll_time <= kStallSeconds) return;
   if (iteration_time_ > stall_detected_at_ + kStallRecoverySeconds)
@@ -188,6 +190,10 @@
   stall_detected_at_ = iteration_time_;
 }
 
+void Loop::track_arrivals() {
+  if (!std::exchange(tracks_arrivals_, true)) arrival_clock_.observe(read_clocks());
+}
+
 // A message may have arrived after the latest reading of the clocks.
 ArrivalTime Loop::arrival_time(WallTime timestamp) {
   const ArrivalTime arrival = arrival_clock_.to_monotonic(timestamp);
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -84,6 +84,8 @@
   void hold_deliveries(ArrivalTime time) { deliveries_held_ = deliveries_held_ || time <= arrival_limit_; }
   // The same, for connections that wait to be accepted.
   void hold_deliveries() { deliveries_held_ = true; }
+  // To be called before timestamps are converted: the clocks are compared in each iteration from then on.
+  void track_arrivals();
   // When a message with that receive timestamp arrived.
   ArrivalTime arrival_time(WallTime timestamp);
   // A lower bound for the arrival of what this iteration reads, for bytes without a receive timestamp.
@@ -174,6 +176,7 @@
   enum class Delivery { kIdle, kAwaitsPoll, kAwaitsTurns } delivery_ = Delivery::kIdle;
   bool deliveries_held_ = false;
   int polls_held_ = 0;
+  bool tracks_arrivals_ = false;
   ArrivalClock arrival_clock_;
   ArrivalTime previous_poll_arrival_time_;
   std::unordered_map<int, Action> signal_actions_;
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -90,7 +90,10 @@
   handler_.on_peer_closed();
 }
 
-void Stream::enable_receive_timestamps() { receive_timestamps_ = request_receive_timestamps(fd_.get()); }
+void Stream::enable_receive_timestamps() {
+  receive_timestamps_ = request_receive_timestamps(fd_.get());
+  loop_.track_arrivals();
+}
 
 double Stream::last_arrival_time() const {
   if (!last_arrival_is_known_) return last_read_at_;
--- a/src/nvme/target.cpp
+++ b/src/nvme/target.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <deque>
 
+#include "loop/error_throttle.h"
+
 namespace heronworks::nvme {
 namespace {
 
@@ -17,26 +19,42 @@
 constexpr std::uint32_t kMaxPduHeaders = 1024;     // bytes; more than any PDU has beside its data
 constexpr std::uint16_t kMaxCntlid = 0xffef;       // FFF0h to FFFFh are reserved
 constexpr double kMinTimeoutCheckInterval = 0.1;   // s
+constexpr int kMaxPdusPerTurn = 8;
 constexpr std::uint64_t kCap = 0x0000002000000000ULL | 1U << 16 | 127U;  // CSS: NVM command set; CQR; MQES
 
+Stream::Options stream_options() {
+  Stream::Options options;
+  options.priority = PollPriority::kClientInput;
+  return options;
+}
+
+// Whether the host should not have sent the command.
+bool is_of_invalid_command(Status s) {
+  return s == status::kInvalidOpcode || s == status::kInvalidField || s == status::kCommandIdConflict ||
+         s == status::kInvalidNamespace || s == status::kCommandSequenceError ||
+         s == status::kInvalidSglDescriptorType || s == status::kLbaOutOfRange ||
+         s == status::kInvalidLogPage;
+}
+
 }  // namespace
 
 // A connection: one admin or I/O queue of an association.
-class TargetConnection final : public StreamHandler, private ArrivalHandler {
+class TargetConnection final : public StreamHandler {
  public:
   TargetConnection(Target& target, ConnectionId id, Fd fd)
       : target_(target),
         id_(id),
         peer_(peer_address(fd.get())),
         parser_(Role::kController, kMaxH2cData + target.options_.in_capsule_data_size + kMaxPduHeaders),
-        stream_(target.loop_, std::move(fd), *this) {
-    stream_.enable_receive_timestamps();
+        stream_(target.loop_, std::move(fd), *this, /*connecting=*/false, stream_options()) {
+    if (target.options_.receive_timestamps) stream_.enable_receive_timestamps();
+    stream_.read_soon();
     watchdog_ = target.loop_.run_at(target.loop_.now() + target.options_.connect_timeout,
                                     [this] { check_timeout(); });
   }
   ~TargetConnection() override {
     target_.loop_.cancel(watchdog_);
-    target_.loop_.cancel_deliveries(*this);
+    target_.loop_.cancel(throttle_timer_);
   }
 
   std::size_t on_received(ByteView bytes) override {
@@ -44,7 +62,12 @@
     last_received_at_ = target_.loop_.now();
     // Bytes that were left unread have arrived no later than when they were first left.
     arrived_at_ = backlog_since_ >= 0 ? std::min(backlog_since_, arrival_time()) : arrival_time();
-    while (!closed_) {
+    bool turn_ended = false;
+    for (int pdus = 0; !closed_ && throttle_timer_ == 0; ++pdus) {
+      if (pdus == kMaxPdusPerTurn) {
+        turn_ended = true;
+        break;
+      }
       std::size_t pdu_size = 0;
       std::optional<FatalError> error;
       const auto pdu = parser_.parse(bytes.subspan(consumed), pdu_size, error);
@@ -61,7 +84,9 @@
       if (!handle_pdu(*pdu)) break;
       consumed += pdu_size;
     }
-    backlog_since_ = paused_ || !stream_.receive_buffer_drained() ? arrived_at_ : -1;
+    if (turn_ended && consumed < bytes.size()) take_another_turn();
+    const bool left_unread = paused_ || throttle_timer_ != 0 || turn_ended;
+    backlog_since_ = left_unread || !stream_.receive_buffer_drained() ? arrived_at_ : -1;
     return consumed;
   }
 
@@ -75,6 +100,7 @@
     const std::uint32_t read_length = found->second.read_length;
     buffered_write_bytes_ -= found->second.data.size();
     outstanding_.erase(found);
+    note_status(status);
     if (status.ok() && !data.empty()) {
       data = data.first(std::min<std::size_t>(data.size(), read_length));
       DataPdu c2h_data;
@@ -161,7 +187,35 @@
   void resume_if_below_limit() {
     if (!paused_ || at_limit() || closed_) return;
     paused_ = false;
+    if (throttle_timer_ == 0) stream_.pause(false);
+  }
+
+  // The rest of what was read is handled after other connections' input. It has arrived before what they
+  // send later.
+  void take_another_turn() {
+    stream_.request_redelivery();
+    target_.loop_.hold_deliveries(stream_.last_arrival());
+  }
+
+  void note_status(Status status) {
+    if (!is_of_invalid_command(status)) return error_throttle_.on_success();
+    if (error_throttle_.on_error() != ErrorThrottle::Verdict::kGoOn) throttle();
+  }
+
+  // The connection is not read for a while.
+  void throttle() {
+    if (throttle_timer_ != 0 || closed_) return;
+    ++target_.throttled_;
+    stream_.pause(true);
+    throttle_timer_ =
+        target_.loop_.run_at(target_.loop_.now() + ErrorThrottle::kPauseSeconds, [this] { end_throttle(); });
+  }
+
+  void end_throttle() {
+    throttle_timer_ = 0;
+    if (closed_ || paused_) return;
     stream_.pause(false);
+    stream_.redeliver_unconsumed();
   }
 
   // Closes the connection if Connect has not completed in time, or if nothing was received within the keep
@@ -170,7 +224,7 @@
     const double now = target_.loop_.now();
     const double timeout = connected_ ? keep_alive_timeout_ : target_.options_.connect_timeout;
     if (connected_ && keep_alive_timeout_ <= 0) return;
-    if (!paused_ && now - last_received_at_ >= timeout) return close();
+    if (!paused_ && throttle_timer_ == 0 && now - last_received_at_ >= timeout) return close();
     watchdog_ = target_.loop_.run_at(std::max(last_received_at_ + timeout, now + kMinTimeoutCheckInterval),
                                      [this] { check_timeout(); });
   }
@@ -237,7 +291,8 @@
       response.cqe.status = status::kCommandIdConflict.to_field();
       append_pdu(stream_.write_buffer(), bytes_of(response), {}, digests_);
       stream_.flush();
-      return true;
+      note_status(status::kCommandIdConflict);
+      return !closed_;
     }
     OutstandingCommand& command = outstanding_[sqe.cid];
     command.sqe = sqe;
@@ -354,18 +409,11 @@
     if (sqe.opcode != opcode::kRead && sqe.opcode != opcode::kWrite && sqe.opcode != opcode::kFlush &&
         sqe.opcode != opcode::kZoneAppend)
       return complete(cid, status::kInvalidOpcode, 0, {});
-    target_.loop_.deliver_in_order(stream_.last_arrival(), *this, cid);
-  }
-
-  // The turn of an I/O command has come.
-  void on_arrival(std::uint64_t cid) override {
-    const auto found = outstanding_.find(static_cast<std::uint16_t>(cid));
-    if (closed_ || found == outstanding_.end()) return;
-    OutstandingCommand& outstanding = found->second;
     Command command;
     command.connection = id_;
-    command.sqe = outstanding.sqe;
+    command.sqe = sqe;
     command.arrived_at = outstanding.arrived_at;
+    command.arrival = stream_.last_arrival();
     buffered_write_bytes_ -= outstanding.data.size();
     command.data = std::move(outstanding.data);
     outstanding.data.clear();
@@ -514,6 +562,8 @@
   double arrived_at_ = 0;      // s; arrival time of the bytes being processed
   double backlog_since_ = -1;  // s; arrival time of the oldest bytes left unread, negative if none
   Loop::TimerId watchdog_ = 0;
+  ErrorThrottle error_throttle_;
+  Loop::TimerId throttle_timer_ = 0;  // 0: the connection is not paused for errors
   std::uint16_t cntlid_ = 0;
   std::uint32_t max_outstanding_ = 1;  // commands of the I/O queue
   std::uint16_t sq_head_ = 0;
--- a/src/nvme/target.h
+++ b/src/nvme/target.h
@@ -1,6 +1,9 @@
 // NVMe over TCP target: accepts connections, initializes them, receives the data of writes, and passes
 // commands to a backend, which completes each of them once, in any order.
 //
+// Connections take turns: in each a connection has one read and kMaxPdusPerTurn PDUs at most. One that keeps
+// sending invalid commands pauses behind each of them (ErrorThrottle).
+//
 // Memory is bounded per connection: while a peer does not read its completions, or has as many commands
 // outstanding as its queue holds, its connection is not read, so that only this peer waits.
 #pragma once
@@ -20,6 +23,7 @@
   Sqe sqe;
   Bytes data;             // of a write
   double arrived_at = 0;  // s of the loop's clock, see TargetOptions::arrival_source
+  ArrivalTime arrival;    // of its last byte, for Loop::deliver_in_order()
 };
 
 // How the arrival time of a command is determined.
@@ -37,6 +41,8 @@
   std::size_t max_connections = 1024;
   double retry_delay = 0.1;  // s; CRDT1, rounded up to 0.1 s. CRDT2 and CRDT3 are 4 and 16 times as long
   ArrivalSource arrival_source = ArrivalSource::kReadTime;
+  // Needed for Command::arrival and ArrivalSource::kKernelTimestamp, without which commands count as read.
+  bool receive_timestamps = false;
   double connect_timeout = 5;  // s from accept to the completion of Connect
 };
 
@@ -46,8 +52,8 @@
   virtual ~Backend() = default;
   // Fills a page of 4096 bytes. For Identify Controller the target has filled the page before the call.
   virtual Status identify(std::uint8_t cns, std::uint8_t csi, std::uint32_t nsid, Bytes& page) = 0;
-  // Executes an I/O command, to be completed by Target::complete. Commands of several connections come in the
-  // order in which their last bytes arrived.
+  // Executes an I/O command, to be completed by Target::complete. Commands of one connection come in their
+  // order, those of several connections as their turns come.
   virtual void execute_command(Command&& command) = 0;
   // Reads `length` bytes of log page `lid` from byte `offset`, to be completed by Target::complete.
   virtual void get_log_page(ConnectionId connection, std::uint16_t cid, std::uint8_t lid,
@@ -82,6 +88,7 @@
   std::size_t connection_count() const { return connections_.size(); }
   std::size_t unsent_bytes() const;  // of all connections
   std::size_t buffer_bytes() const;  // memory allocated for the input and output of all connections
+  std::uint64_t throttled() const { return throttled_; }  // pauses of connections with invalid commands
 
  private:
   friend class TargetConnection;
@@ -102,6 +109,7 @@
   std::map<std::uint16_t, Association> associations_;  // by CNTLID; removed with the admin connection
   ConnectionId last_connection_id_ = 0;
   std::uint16_t last_cntlid_ = 0;
+  std::uint64_t throttled_ = 0;
   Loop::TimerId idle_buffer_timer_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/platform/client_server.cpp
+++ b/src/platform/client_server.cpp
@@ -32,7 +32,7 @@
         receiver(http::MessageKind::kRequest, kRequestLimits, s.memory_, MemoryUse::kRequest),
         read_ahead(s.memory_, MemoryUse::kReadAhead),
         idle_since(s.loop_.now()) {
-    stream.enable_receive_timestamps();
+    if (s.owner_.keeps_order()) stream.enable_receive_timestamps();
   }
 
   const http::Reader& reader() const { return receiver.reader(); }
