A node's start time is converted by the clocks' offset at the time it is listed

What callers would see: after a step of the wall clock a node that starts counts as older or younger than it is by the step: slow start is lost, or lasts for an hour.

Cause: the offset between wall clock and loop clock was taken once at the start of the process.

Why it works: each start time is converted once, when a node is first listed with it, by the offset of that moment, and kept while the list repeats it. A step between a node's start and its listing still changes its age; docs/ROADMAP.md. Without steps the values are those of before.

--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -40,7 +40,6 @@
       config_(config),
       log_(log),
       matcher_(config),
-      wall_offset_(wall_offset()),
       admission_(matcher_.tenant_count(), static_cast<double>(config.max_open_transactions),
                  static_cast<double>(config.max_write_bytes)) {
   Fd listener = listen_on(config.listen);
@@ -48,7 +47,7 @@
     throw std::runtime_error("cannot listen on " + config.listen.to_string() + ": " + std::strerror(errno));
   last_generated_idempotency_key_ =
       kGeneratedIdempotencyKeyBit | static_cast<std::uint64_t>(config.settings.scheduler_index) << 46 |
-      (static_cast<std::uint64_t>((loop.now() + wall_offset_) * 1000) & 0x3fffffff) << 16;
+      (static_cast<std::uint64_t>((loop.now() + wall_offset()) * 1000) & 0x3fffffff) << 16;
   nvme::HostOptions list_options;
   list_options.address = config.discovery_address;
   list_options.subnqn = config.discovery_subsystem;
@@ -192,7 +191,7 @@
   }
   nvme::Status error;
   const auto match =
-      matcher_.match(command.sqe, clients_[command.connection], now(), now() + wall_offset_, error);
+      matcher_.match(command.sqe, clients_[command.connection], now(), now() + wall_offset(), error);
   if (!match) return finish(error, counts_.refused);
   const bool reads = command.sqe.opcode == nvme::opcode::kRead;
   if (command.sqe.sgl_length != command.sqe.blocks() * config_.block_bytes)
@@ -490,9 +489,8 @@
     entry.zone = listed.zone;
     entry.shard = listed.shard;
     entry.state = listed.state;
-    entry.started_at = listed.started_at == 0
-                           ? 0
-                           : std::max(1e-9 * static_cast<double>(listed.started_at) - wall_offset_, 1e-6);
+    entry.started_at = start_times_.to_loop_time(entry.node, 1e-9 * static_cast<double>(listed.started_at),
+                                                 entry.index_reused, wall_offset());
     if (!entry.index_reused && entry.started_at > previous_start)
       endpoint.connection->reset("node process restarted");
     node_indices_.update(loop_.now(), entry);
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -13,6 +13,7 @@
 #include "gateway/node_connection.h"
 #include "host/node_index_table.h"
 #include "host/slot_table.h"
+#include "host/start_times.h"
 #include "host/watchdog.h"
 #include "ledger/ledger_service.h"
 #include "log/log.h"
@@ -145,7 +146,7 @@
   const config::GatewayConfig& config_;
   Log& log_;
   Matcher matcher_;
-  const double wall_offset_;  // wall time less loop time; constant, so that start times of nodes do not shift
+  StartTimes start_times_;
   std::unique_ptr<nvme::Target> target_;
   std::unique_ptr<EndpointListWatch> endpoint_list_;
   std::unique_ptr<Control> control_;
--- a/src/platform/scheduler.cpp
+++ b/src/platform/scheduler.cpp
@@ -93,7 +93,6 @@
     : loop_(loop),
       config_(std::move(config)),
       log_(log),
-      wall_offset_(wall_offset()),
       keeps_order_(std::any_of(config_.settings().profiles.begin(), config_.settings().profiles.end(),
                                [](const Profile& profile) { return profile.ordered_by_key; })),
       descriptors_(config_.max_descriptors),
@@ -381,7 +380,8 @@
     if (endpoint.state != NodeState::kRemoved) {
       entry.zone = zone_indices_.emplace(endpoint.zone, static_cast<int>(zone_indices_.size())).first->second;
       entry.shard = endpoint.shard;
-      entry.started_at = endpoint.started_at == 0 ? 0 : std::max(endpoint.started_at - wall_offset_, 1e-6);
+      entry.started_at =
+          start_times_.to_loop_time(entry.node, endpoint.started_at, entry.index_reused, wall_offset());
       node_connections_->set_address(entry.node, endpoint.address);
       if (!entry.index_reused && entry.started_at > previous_start) node_connections_->close_idle(entry.node);
     }
--- a/src/platform/scheduler.h
+++ b/src/platform/scheduler.h
@@ -7,6 +7,7 @@
 #include "control.h"
 #include "host/node_index_table.h"
 #include "host/slot_table.h"
+#include "host/start_times.h"
 #include "host/watchdog.h"
 #include "log/log.h"
 #include "platform/call_id_table.h"
@@ -123,8 +124,7 @@
   Loop& loop_;
   Config config_;
   Log& log_;
-  const double
-      wall_offset_;         // Unix time less loop time; constant, so that start times of nodes stay the same
+  StartTimes start_times_;
   const bool keeps_order_;  // a profile does
   DescriptorBudget descriptors_;
   MemoryBudget memory_;
--- a/tests/host/index_table_test.cpp
+++ b/tests/host/index_table_test.cpp
@@ -3,6 +3,7 @@
 
 #include "host/node_index_table.h"
 #include "host/slot_table.h"
+#include "host/start_times.h"
 
 using namespace heronworks;
 
@@ -77,3 +78,18 @@
   CHECK(slots.allocate() == first);
   CHECK(slots[first].empty());
 }
+
+// Guards against a node's age that changes with the wall clock: slow start would be lost, or never end.
+TEST_CASE("start times: a step of the wall clock changes no node's age, nor that of nodes that start later") {
+  StartTimes times;
+  constexpr double kOffset = 1'700'000'000;
+  constexpr double kStep = 3600;
+  for (const double step : {kStep, -kStep}) {
+    CAPTURE(step);
+    CHECK(times.to_loop_time(0, kOffset + 50, true, kOffset) == doctest::Approx(50));
+    CHECK(times.to_loop_time(0, kOffset + 50, false, kOffset + step) == doctest::Approx(50));
+    CHECK(times.to_loop_time(0, kOffset + step + 90, false, kOffset + step) == doctest::Approx(90));
+    CHECK(times.to_loop_time(1, kOffset + step + 95, true, kOffset + step) == doctest::Approx(95));
+    CHECK(times.to_loop_time(2, 0, true, kOffset) == 0);
+  }
+}
