--- a/src/loop/fd.cpp
+++ b/src/loop/fd.cpp
@@ -99,10 +99,19 @@
   return fd;
 }
 
-Fd accept_from(int listener) {
+Accepted accept_from(int listener) {
   Fd fd(::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-  if (fd) set_no_delay(fd.get());
-  return fd;
+  if (fd) {
+    set_no_delay(fd.get());
+    return {AcceptStatus::kAccepted, std::move(fd)};
+  }
+  if (errno == EAGAIN || errno == EWOULDBLOCK) return {AcceptStatus::kNonePending, Fd()};
+  const bool no_resources = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+  return {no_resources ? AcceptStatus::kNoResources : AcceptStatus::kFailed, Fd()};
+}
+
+bool is_temporary_socket_error(int error) {
+  return error == EAGAIN || error == EWOULDBLOCK || error == EINTR || error == ENOBUFS || error == ENOMEM;
 }
 
 Fd connect_to(const Address& address) {
@@ -111,7 +120,8 @@
   Fd fd(::socket(socket_address->storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!fd) return fd;
   set_no_delay(fd.get());
-  if (::connect(fd.get(), socket_address->get(), socket_address->length) != 0 && errno != EINPROGRESS)
+  if (::connect(fd.get(), socket_address->get(), socket_address->length) != 0 && errno != EINPROGRESS &&
+      errno != EINTR)  // after which it goes on in the background, connect(2)
     return Fd();
   return fd;
 }
--- a/src/loop/fd.h
+++ b/src/loop/fd.h
@@ -43,9 +43,24 @@
   static std::optional<Address> parse(const std::string& text);
 };
 
+enum class AcceptStatus {
+  kAccepted,
+  kNonePending,
+  kFailed,       // one connection failed, or a signal came: others may be pending, accept(2)
+  kNoResources,  // descriptors or memory have run out: connections stay pending
+};
+
+struct Accepted {
+  AcceptStatus status = AcceptStatus::kNonePending;
+  Fd fd;  // of kAccepted
+};
+Accepted accept_from(int listener);
+
+// Whether a read or write that failed with this errno value may succeed later on the same socket.
+bool is_temporary_socket_error(int error);
+
 // On failure, these return an empty Fd and leave the cause in errno.
 Fd listen_on(const Address& address, int backlog = 256);
-Fd accept_from(int listener);
 // Starts a connection, which may still be in progress on return. The socket becomes writable once it is
 // established or has failed; socket_error() then tells which.
 Fd connect_to(const Address& address);
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -61,12 +61,13 @@
   }
 }
 
-void Loop::watch(int fd, PollHandler& handler, PollPriority priority) {
+bool Loop::watch(int fd, PollHandler& handler, PollPriority priority) {
   if (++last_generation_ == kSignalGeneration) ++last_generation_;
   registrations_[fd] = {&handler, priority, last_generation_, EPOLLIN};
   epoll_event event{EPOLLIN, {.u64 = event_key(fd, last_generation_)}};
-  if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) != 0)
-    throw std::runtime_error("cannot add a descriptor to epoll");
+  if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) == 0) return true;
+  registrations_.erase(fd);
+  return false;
 }
 
 void Loop::set_interest(int fd, PollInterest interest) {
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -91,9 +91,10 @@
   // A lower bound for the arrival of what this iteration reads, for bytes without a receive timestamp.
   ArrivalTime previous_poll_arrival_time() const { return previous_poll_arrival_time_; }
 
-  // Starts to watch for reads. Throws std::runtime_error if epoll refuses the descriptor. Must be undone by
-  // unwatch() before the descriptor is closed. May be called from callbacks, as may the next three.
-  void watch(int fd, PollHandler& handler, PollPriority priority = PollPriority::kService);
+  // Starts to watch for reads. Returns false if epoll refuses the descriptor, for lack of memory or by a
+  // limit of the system. Must be undone by unwatch() before the descriptor is closed. May be called from
+  // callbacks, as may the next three.
+  bool watch(int fd, PollHandler& handler, PollPriority priority = PollPriority::kService);
   void set_interest(int fd, PollInterest interest);
   void unwatch(int fd);
   // on_readable() is called when the descriptor's turn among clients' input comes, readable or not.
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -59,7 +59,11 @@
 
 Stream::Stream(Loop& loop, Fd fd, StreamHandler& handler, bool connecting, Options options)
     : loop_(loop), fd_(std::move(fd)), handler_(handler), options_(options), connecting_(connecting) {
-  loop_.watch(fd_.get(), *this, options_.priority);
+  if (!loop_.watch(fd_.get(), *this, options_.priority)) {
+    loop_.defer([this, alive = alive_] {
+      if (*alive) fail("the socket cannot be watched");
+    });
+  }
   update_interest();
 }
 
@@ -144,7 +148,7 @@
     const auto n = write_some();
     if (n < 0) {
       if (errno == EINTR) continue;
-      if (errno != EAGAIN && errno != EWOULDBLOCK) {
+      if (!is_temporary_socket_error(errno)) {
         // Deferred, so that the handler is not called back in the middle of its own send().
         const std::string reason = std::strerror(errno);
         loop_.defer([this, reason, alive = alive_] {
@@ -307,7 +311,7 @@
   if (read_buffer_.size() < unconsumed_ + read_size_) read_buffer_.resize(unconsumed_ + read_size_);
   const auto n = receive(read_buffer_.data() + unconsumed_, read_size_);
   if (n < 0) {
-    if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) return;
+    if (is_temporary_socket_error(errno)) return;
     return fail(std::strerror(errno));
   }
   if (n == 0) return handle_eof();
@@ -328,7 +332,7 @@
   const auto space = loop_.scratch().first(std::min(loop_.scratch().size(), allowance));
   const auto n = receive(space.data(), space.size());
   if (n < 0) {
-    if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) return;
+    if (is_temporary_socket_error(errno)) return;
     return fail(std::strerror(errno));
   }
   if (n == 0) return handle_eof();
@@ -382,18 +386,36 @@
 Listener::Listener(Loop& loop, Fd fd, AcceptCallback on_accept)
     : loop_(loop), fd_(std::move(fd)), on_accept_(std::move(on_accept)) {
   request_receive_timestamps(fd_.get());
-  loop_.watch(fd_.get(), *this);
+  if (!loop_.watch(fd_.get(), *this)) throw std::runtime_error("cannot watch the listening socket");
 }
 
-Listener::~Listener() { loop_.unwatch(fd_.get()); }
+Listener::~Listener() {
+  loop_.cancel(retry_timer_);
+  loop_.unwatch(fd_.get());
+}
 
 void Listener::on_readable() {
+  if (accept_pending() == AcceptStatus::kNoResources) return pause();
+  loop_.hold_deliveries();  // more may wait to be accepted
+}
+
+AcceptStatus Listener::accept_pending() {
   for (int i = 0; i < kMaxAcceptsPerEvent; ++i) {
-    Fd fd = accept_from(fd_.get());
-    if (!fd) return;
-    on_accept_(std::move(fd));
+    Accepted accepted = accept_from(fd_.get());
+    if (accepted.status == AcceptStatus::kAccepted) {
+      on_accept_(std::move(accepted.fd));
+    } else if (accepted.status != AcceptStatus::kFailed) {
+      return accepted.status;
+    }
   }
-  loop_.hold_deliveries();  // more may wait to be accepted
+  return AcceptStatus::kAccepted;
+}
+
+// The connections that wait would be reported without end.
+void Listener::pause() {
+  loop_.set_interest(fd_.get(), {.read = false});
+  retry_timer_ =
+      loop_.run_at(loop_.now() + kRetrySeconds, [this] { loop_.set_interest(fd_.get(), {.read = true}); });
 }
 
 }  // namespace heronworks
--- a/src/loop/stream.h
+++ b/src/loop/stream.h
@@ -197,8 +197,8 @@
   // The accepted connections have receive timestamps from their first byte, if the kernel provides them.
   Listener(Loop& loop, Fd fd, AcceptCallback on_accept);
   ~Listener() override;
-  // Accepts one pending connection outside of the callback. Returns an empty Fd if there is none.
-  Fd accept() { return accept_from(fd_.get()); }
+  // Accepts pending connections, some at most, also outside of the loop's events. kNonePending: all of them.
+  AcceptStatus accept_pending();
   Address address() const { return local_address(fd_.get()); }
 
  private:
@@ -206,10 +206,14 @@
   void on_writable() override {}
   void on_hangup() override {}
 
+  void pause();
+
   static constexpr int kMaxAcceptsPerEvent = 64;
+  static constexpr double kRetrySeconds = 0.002;  // after which there may be descriptors again
   Loop& loop_;
   Fd fd_;
   AcceptCallback on_accept_;
+  Loop::TimerId retry_timer_ = 0;
 };
 
 }  // namespace heronworks
--- a/src/platform/client_server.cpp
+++ b/src/platform/client_server.cpp
@@ -550,10 +550,10 @@
 }
 
 void ClientServer::stop_accepting() {
-  while (true) {  // connections in the listen backlog are established already
-    Fd fd = listener_->accept();
-    if (!fd) break;
-    accept(std::move(fd));
+  // Connections in the listen backlog are established already: closing the listener would reset them.
+  if (listener_->accept_pending() != AcceptStatus::kNonePending && loop_.now() < drain_end_at_) {
+    accept_timer_ = loop_.run_at(loop_.now() + kAcceptRetrySeconds, [this] { stop_accepting(); });
+    return;
   }
   listener_.reset();
 }
@@ -572,7 +572,7 @@
                       (c->had_request || c->idle_since <= now - kLateStartSeconds);
     if (now >= drain_end_at_ || (idle && c->stream.peer_idle())) close_idle(*c);
   }
-  if (clients_.empty()) {
+  if (clients_.empty() && !listener_) {
     drain_timer_ = 0;
     return std::exchange(drained_, nullptr)();
   }
--- a/src/platform/client_server.h
+++ b/src/platform/client_server.h
@@ -136,6 +136,7 @@
   static constexpr std::size_t kMaxLingering = 64;  // connections, after an error or a last reply
   static constexpr std::size_t kMaxDiscardedBytes = std::size_t{96} << 20;
   static constexpr double kDrainCheckPeriodSeconds = 0.02;
+  static constexpr double kAcceptRetrySeconds = 0.001;
   static constexpr double kTimeoutCheckPeriodSeconds = 0.1;
   static constexpr double kMemoryWaitSeconds = 0.4;           // then incomplete requests are rejected
   static constexpr double kMemoryCheckPeriodSeconds = 0.005;  // while requests wait
--- a/src/store/log_writer.cpp
+++ b/src/store/log_writer.cpp
@@ -18,7 +18,8 @@
     throw std::runtime_error("cannot create the log writer's wake-up pipe");
   wake_pipe_read_ = Fd(pipe_ends[0]);
   wake_pipe_write_ = Fd(pipe_ends[1]);
-  loop_.watch(wake_pipe_read_.get(), *this);
+  if (!loop_.watch(wake_pipe_read_.get(), *this))
+    throw std::runtime_error("cannot watch the log writer's pipe");
   // The new thread inherits a full signal mask: signals are handled by the loop's thread.
   sigset_t all_signals;
   sigset_t previous_mask;
--- a/tests/loop/loop_test.cpp
+++ b/tests/loop/loop_test.cpp
@@ -147,7 +147,7 @@
     int turns = 0;
   } handler;
   const Fd socket = listen_on({"127.0.0.1", 0});
-  loop.watch(socket.get(), handler, PollPriority::kClientInput);
+  REQUIRE(loop.watch(socket.get(), handler, PollPriority::kClientInput));
   loop.request_turn(socket.get());
   loop.request_turn(socket.get());
   loop.run_once(0);
