A 200 that is complete before its request's last byte was written is not passed on

What callers would see: a request answered as served that its node can't have executed, as the node doesn't have all of it; on a reused connection the reply belongs to an earlier request.

Cause: a reply counted for the open request of its connection whatever had been written of that request.

Why it works: such a reply counts as a request that was not executed, so it is retried on another connection while there is time. Its connection ends. Early errors still count, as RFC 9110 allows a node to refuse before it has read everything.

--- a/src/platform/node_connection_pool.cpp
+++ b/src/platform/node_connection_pool.cpp
@@ -99,7 +99,12 @@
   // `excess`: the bytes that were received behind the reply.
   void on_reply_complete(std::span<const std::uint8_t> excess) {
     HeldMessagePtr reply = receiver.take_message();
-    const Outcome outcome = outcome_of(reply->message, excess);
+    Outcome outcome = outcome_of(reply->message, excess);
+    // No node can have executed a request whose end it does not have: the reply belongs to another one.
+    if (outcome == Outcome::kSucceeded && partly_unsent()) {
+      ++pool.counts_.invalid_replies;
+      outcome = Outcome::kConnectFailed;
+    }
     if (!excess.empty()) ++pool.counts_.unexpected_data;
     // If the reply precedes the end of the request, the connection cannot be reused.
     const bool reusable = excess.empty() && reply->message.keep_alive && stream.unsent() == 0;
--- a/tests/platform/races_test.cpp
+++ b/tests/platform/races_test.cpp
@@ -530,3 +530,31 @@
     CHECK(fixture.send_and_wait(fixture.write("v", "1")) == 503);
   }
 }
+
+// Guards against a reply that is passed on for a request whose end its node has not received.
+TEST_CASE("a 200 that is complete before the last byte of its request was written is not passed on") {
+  PlatformFixture fixture;
+  fixture.node0.reply.clear();
+  fixture.start();
+  test::Peer& client = fixture.client();
+  client.send(fixture.write("w", std::string(1'000'000, 'x')));
+  auto& connections = fixture.node0.server.peers;
+  // Small buffers, before the request is written: the kernel can't take all of it.
+  const int kBufferBytes = 4096;
+  const auto limit_buffers = [&](int fd) {
+    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &kBufferBytes, sizeof kBufferBytes);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kBufferBytes, sizeof kBufferBytes);
+  };
+  REQUIRE(fixture.run_until([&] {
+    test::for_each_socket(limit_buffers, fixture.node0.server.address.port);
+    for (const auto& connection : connections) {
+      if (connection->input.empty() || connection->stream.paused()) continue;
+      REQUIRE(connection->input.size() < 800'000);  // the end of the request has not been read
+      connection->stream.pause(true);
+      connection->send(test::http_reply(200, "another request's data"));
+    }
+    return fixture.status(client) != 0;
+  }));
+  CHECK(fixture.status(client) != 200);
+  CHECK(client.input.find("another request's data") == std::string::npos);
+}
