The log says what happened to each request, and which client keeps the process busy

Below debug level nothing is collected for the line of a request.

The new test reads the lines of a served, a repeated and an abandoned request.

--- a/src/log/log.h
+++ b/src/log/log.h
@@ -33,6 +33,9 @@
     write(now, 3, event, std::move(fields));
   }
 
+  // Whether debug() writes anything: for fields that are costly to collect.
+  bool writes_debug() const { return min_level_ == 0; }
+
  private:
   void write(double now, int level, const char* event, nlohmann::json fields);
 
--- a/src/platform/client_server.cpp
+++ b/src/platform/client_server.cpp
@@ -96,6 +96,7 @@
   }
 
   void pass_on_request(double received_at) {
+    count_request();
     HeldMessagePtr request = receiver.take_message();
     const ArrivalTime arrival = unread_request.arrival().value_or(stream.last_arrival());
     unread_request.reset();
@@ -116,6 +117,12 @@
     }
   }
 
+  void count_request() {
+    if (std::exchange(counting_period, server.counting_period_) != server.counting_period_)
+      requests_in_period = 0;
+    server.busiest_requests_ = std::max(server.busiest_requests_, ++requests_in_period);
+  }
+
   // `bytes` stay until the next request is read.
   void keep_unconsumed(std::span<const std::uint8_t> bytes, double received_at) {
     const bool of_next_request = !bytes.empty() && !reader().started();
@@ -186,6 +193,8 @@
 
   ClientServer& server;
   const ClientId id;
+  std::uint64_t counting_period = 0;
+  std::uint64_t requests_in_period = 0;
   Stream stream;
   MessageReceiver receiver;
   MemoryCharge read_ahead;
@@ -294,6 +303,11 @@
   added->second->stream.read_soon();
 }
 
+std::uint64_t ClientServer::take_busiest_requests() {
+  ++counting_period_;
+  return std::exchange(busiest_requests_, 0);
+}
+
 bool ClientServer::has_left(ClientId client) const {
   const auto found = clients_.find(client);
   if (found == clients_.end()) return true;
--- a/src/platform/client_server.h
+++ b/src/platform/client_server.h
@@ -89,6 +89,8 @@
   void drain(double accept_seconds, double serve_seconds, double end_seconds, std::function<void()> done);
   // Whether the client has closed its connection, or ended its sending. on_client_closed() may still follow.
   bool has_left(ClientId client) const;
+  // Requests of the connection that had most of them since the previous call.
+  std::uint64_t take_busiest_requests();
   std::size_t connection_count() const { return clients_.size(); }
   const ClientServerCounts& counts() const { return counts_; }
   ClientServerMemory memory() const;  // visits each connection
@@ -159,6 +161,8 @@
   std::set<ClientId> delayed_;   // have input that can't be read as a request yet; bounded by descriptors_
   std::vector<std::uint8_t> peek_buffer_;  // for what is unread; one read at most
   ClientId last_client_ = 0;
+  std::uint64_t counting_period_ = 1;
+  std::uint64_t busiest_requests_ = 0;
   bool draining_ = false;
   bool serving_ended_ = false;  // each reply is the last one on its connection
   std::function<void()> drained_;
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int kMaxLogLinesPerSecond = 40;
+constexpr int kMaxDebugLinesPerSecond = 2000;  // one for each request, and some
 
 }  // namespace
 
@@ -31,7 +32,8 @@
   const MonotonicClock clock;
   Loop loop(clock);
   const char* level = std::getenv("HERONWORKS_LOG");
-  Log log("", level == nullptr ? "info" : level, kMaxLogLinesPerSecond);
+  const bool is_debug = level != nullptr && std::string_view(level) == "debug";
+  Log log("", level == nullptr ? "info" : level, is_debug ? kMaxDebugLinesPerSecond : kMaxLogLinesPerSecond);
   Scheduler scheduler(loop, std::move(config), log);
   loop.on_signal(SIGHUP, [&] {
     try {
--- a/src/platform/scheduler.cpp
+++ b/src/platform/scheduler.cpp
@@ -87,6 +87,40 @@
           {"unsent_to_clients", memory.clients.unsent_replies}};
 }
 
+// By status, as far as there were any.
+nlohmann::json errors_since(const std::map<int, std::uint64_t>& before,
+                            const std::map<int, std::uint64_t>& now) {
+  nlohmann::json fields = nlohmann::json::object();
+  for (const auto& [status, count] : now) {
+    const auto found = before.find(status);
+    const std::uint64_t more = count - (found == before.end() ? 0 : found->second);
+    if (more > 0) fields[std::to_string(status)] = more;
+  }
+  return fields;
+}
+
+const char* name_of(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kSucceeded:
+      return "succeeded";
+    case Outcome::kError:
+      return "error";
+    case Outcome::kQueueFull:
+      return "queue full";
+    case Outcome::kTimedOut:
+      return "timed out";
+    case Outcome::kConnectFailed:
+      return "connect failed";
+    case Outcome::kReset:
+      return "reset";
+    case Outcome::kCancelled:
+      return "cancelled";
+    case Outcome::kNotSent:
+      return "not sent";
+  }
+  return "";
+}
+
 }  // namespace
 
 Scheduler::Scheduler(Loop& loop, Config config, Log& log)
@@ -182,7 +216,13 @@
   }
   const auto reply_error = [&](int status, const std::string& reason) {
     ++counts_.invalid;
-    log_.debug(loop_.now(), "refused", {{"reason", reason}});
+    ++counts_.errors[status];
+    if (log_.writes_debug()) {
+      const std::string* id = request.find_field("X-Call-Id");
+      log_.debug(
+          loop_.now(), "refused",
+          {{"id", id == nullptr ? "" : *id}, {"client", client}, {"status", status}, {"reason", reason}});
+    }
     client_server_->reply(client, {status, "", shared_bytes(reason + "\n"), true});
   };
   auto result = parse_request(request, config_);
@@ -196,12 +236,14 @@
   }
   if (client_server_->has_left(client)) {  // on_client_closed() follows
     ++counts_.left_before_transaction;
+    log_.debug(loop_.now(), "left_unread", {{"id", parsed.call_id}, {"client", client}});
     return;
   }
   const VolumeName volume{parsed.volume, parsed.transaction.plan};
   const auto assignment = volumes_.acquire(volume, now());
   if (!assignment) {
     ++counts_.rejected_at_admission;
+    log_.debug(loop_.now(), "no_volume_index", {{"id", parsed.call_id}, {"client", client}});
     return client_server_->reply(
         client, {kRejectedStatus, retry_after_text(config_.settings().max_retry_after), nullptr});
   }
@@ -226,6 +268,7 @@
   by_client_[client] = id;
   call_ids_.begin(parsed.call_id);
   ++counts_.arrived;
+  if (log_.writes_debug()) begin_trace(slot, parsed.transaction, received_at);
   control_->transaction_arrived(now(), id, parsed.transaction);
 }
 
@@ -266,16 +309,32 @@
   slot.request.reset();
   const int node = slot.node;
   ++counts_.abandoned;
+  if (slot.trace) slot.trace->add(now(), "client_left");
   control_->transaction_abandoned(now(), id);
   if (node >= 0) node_connections_->cancel_unsent(node, id);
 }
 
 void Scheduler::on_invalid_request(ClientId client, int status, const std::string& reason) {
+  ++counts_.errors[status];
   log_.debug(loop_.now(), "unreadable", {{"client", client}, {"status", status}, {"reason", reason}});
 }
 
-void Scheduler::reply(Slot& slot, ClientReply reply) {
+void Scheduler::begin_trace(Slot& slot, const Transaction& transaction, double received_at) const {
+  slot.trace = std::make_unique<RequestTrace>(received_at);
+  const std::string* profile = slot.request->message.find_field("X-Call-Class");
+  slot.trace->add(now(), "accepted",
+                  {{"class", profile == nullptr ? "" : *profile}, {"time_left", transaction.time_left}});
+}
+
+void Scheduler::log_trace(Slot& slot) {
+  nlohmann::json fields{{"id", slot.call_id}, {"client", slot.client}, {"events", slot.trace->take_events()}};
+  if (slot.trace->omitted() > 0) fields["omitted"] = slot.trace->omitted();
+  log_.debug(loop_.now(), "request", std::move(fields));
+}
+
+void Scheduler::reply(Slot& slot, ClientReply reply, const char* reason) {
   if (slot.answered) return;
+  if (slot.trace) slot.trace->add(now(), "answered", {{"status", reply.status}, {"reason", reason}});
   slot.answered = true;
   slot.request.reset();
   by_client_.erase(slot.client);
@@ -294,6 +353,9 @@
   dispatch.sent_at = now();
   dispatch.deadline = timeout > 0 ? std::min(now() + timeout, slot.deadline) : slot.deadline;
   slot.node = node;
+  if (slot.trace)
+    slot.trace->add(now(), "dispatched",
+                    {{"node", node}, {"dispatch", dispatch.number}, {"timeout", dispatch.deadline - now()}});
   const http::Message& request = slot.request->message;
   http::Writer writer(dispatch.head);
   writer.request_line(request.method, slot.node_target)
@@ -314,16 +376,17 @@
 
 void Scheduler::reject(int transaction, double retry_after) {
   ++counts_.rejected;
-  reply(slots_[transaction], {kRejectedStatus, retry_after_text(retry_after), nullptr});
+  reply(slots_[transaction], {kRejectedStatus, retry_after_text(retry_after), nullptr}, "rejected");
 }
 
 void Scheduler::expire(int transaction) {
   ++counts_.expired;
-  reply(slots_[transaction], {kExpiredStatus, "", nullptr});
+  reply(slots_[transaction], {kExpiredStatus, "", nullptr}, "expired");
 }
 
 void Scheduler::release(int transaction) {
-  const Slot& slot = slots_[transaction];
+  Slot& slot = slots_[transaction];
+  if (slot.trace) log_trace(slot);
   volumes_.release(slot.volume);
   call_ids_.end(now(), slot.call_id, slot.dispatches > 0);
   slots_.release(transaction);
@@ -347,6 +410,9 @@
   result.node = node;
   result.elapsed = std::max(now() - dispatch.sent_at, 0.0);
   result.outcome = outcome;
+  if (slot.trace)
+    slot.trace->add(now(), "dispatch_ended",
+                    {{"node", node}, {"dispatch", dispatch.number}, {"outcome", name_of(outcome)}});
   const auto number_field = [&](const char* name) -> std::optional<double> {
     const bool given_once = held && held->message.count_fields(name) == 1;
     const std::string* text = given_once ? held->message.find_field(name) : nullptr;
@@ -357,7 +423,7 @@
   result.usage_reported = number_field("Volume-Load").has_value();  // only its presence counts, even if 0
   if (outcome == Outcome::kSucceeded && !slot.answered) {
     ++counts_.succeeded;
-    reply(slot, {200, "", body_of(held)});
+    reply(slot, {200, "", body_of(held)}, "served by its node");
   }
   result.transaction_finished = slot.answered;
   control_->dispatch_finished(now(), dispatch.transaction, result);
@@ -437,6 +503,8 @@
              {"abandoned", since(&Counts::abandoned)},
              {"dispatched", since(&Counts::dispatched)},
              {"refused", since(&Counts::invalid)},
+             {"errors", errors_since(logged_counts_.errors, counts_.errors)},
+             {"busiest_client", client_server_->take_busiest_requests()},
              {"repeated_ids", since(&Counts::repeated_call_ids)},
              {"known_ids", call_ids_.size()},
              {"at_door", since(&Counts::rejected_at_admission)},
--- a/src/platform/scheduler.h
+++ b/src/platform/scheduler.h
@@ -16,6 +16,7 @@
 #include "platform/discovery_client.h"
 #include "platform/node_connection_pool.h"
 #include "platform/request_parser.h"
+#include "platform/request_trace.h"
 #include "platform/volume_index_table.h"
 
 namespace heronworks::platform {
@@ -29,6 +30,7 @@
   std::uint64_t abandoned = 0;
   std::uint64_t left_before_transaction = 0;  // their client had left when they were read
   std::uint64_t dispatched = 0;
+  std::map<int, std::uint64_t> errors;      // answers to invalid requests, by status
   std::uint64_t invalid = 0;                // requests that are not a transaction; answered with an error
   std::uint64_t repeated_call_ids = 0;      // part of invalid
   std::uint64_t rejected_at_admission = 0;  // before the decision module saw them
@@ -109,14 +111,18 @@
     VolumeName volume;
     double refill_seconds = 0;  // see VolumeIndexTable::spend()
     std::string call_id;
-    HeldMessagePtr request;        // until it is answered
-    std::string_view node_target;  // part of the request
+    HeldMessagePtr request;               // until it is answered
+    std::string_view node_target;         // part of the request
+    std::unique_ptr<RequestTrace> trace;  // null unless the log is at debug level
   };
 
   double now() const { return loop_.iteration_time(); }
   void start_transaction(ClientId client, HeldMessagePtr held, double received_at);
   int take_slot(ClientId client);
-  void reply(Slot& slot, ClientReply reply);
+  // Answers the request, unless that is done. `reason`: for the trace.
+  void reply(Slot& slot, ClientReply reply, const char* reason);
+  void begin_trace(Slot& slot, const Transaction& transaction, double received_at) const;
+  void log_trace(Slot& slot);
   std::vector<NodeEntry> update_node_table(const std::vector<Endpoint>& endpoints, bool is_full);
   void apply_update(const EndpointUpdate& update, UpdateKind kind);
   void log_counts();
--- a/tests/platform/repeated_id_test.cpp
+++ b/tests/platform/repeated_id_test.cpp
@@ -23,17 +23,20 @@
 
 class Play {
  public:
-  Play() : loop_(clock_), node_(loop_, kServiceSeconds, kReplyBytes), discovery_(loop_) {
+  // `environment` is added to the scheduler's.
+  explicit Play(std::map<std::string, std::string> environment = {})
+      : loop_(clock_), node_(loop_, kServiceSeconds, kReplyBytes), discovery_(loop_) {
     nlohmann::json config = test::process_config(96, 512, discovery_.server.address, {node_.address()});
     for (const char* name : {"give-up", "dedup-window"}) {
       for (auto& profile : config["settings"]["request-classes"]) profile[name] = 5000000;
     }
     address_ = *Address::parse(config["listen"].get<std::string>());
-    scheduler_ = std::make_unique<test::SchedulerProcess>(config, directory_.path());
+    scheduler_ = std::make_unique<test::SchedulerProcess>(config, directory_.path(), std::move(environment));
     REQUIRE(test::wait_until_ready(loop_, address_));
   }
 
   DelayingNode& node() { return node_; }
+  std::string log() const { return scheduler_->log(); }
   const Address& address() const { return address_; }
   void run_for(double seconds) {
     for (const double end = clock_.now() + seconds; clock_.now() < end;) loop_.run_once(0.002);
@@ -158,3 +161,39 @@
   CHECK(play.wait_for_status(*second) == kOk);
   CHECK(play.node().received("id-b") == 1);
 }
+
+// Guards against an incident whose log does not tell why a request was sent on, answered or refused.
+TEST_CASE("log: at debug level a line for each request says what happened to it") {
+  const std::map<std::string, std::string> environment{{"HERONWORKS_LOG", "debug"}};
+  Play play(environment);
+  play.node().set_service_seconds(0.1);
+  const auto served = play.send(PlatformFixture::request("id-served"));
+  REQUIRE(play.wait_for_status(*served) == kOk);
+  REQUIRE(is_refusal_as_invalid(play.wait_for_status(*play.send(PlatformFixture::request("id-served")))));
+  auto leaving = play.send(PlatformFixture::request("id-left"));
+  play.run_for(0.05);
+  leaving.reset();
+  std::map<std::string, nlohmann::json> requests;  // by id
+  std::map<std::string, nlohmann::json> refused;
+  REQUIRE(play.run_until(
+      [&] {
+        std::istringstream lines(play.log());
+        for (std::string line; std::getline(lines, line);) {
+          const auto fields = nlohmann::json::parse(line, nullptr, false);
+          if (fields.is_discarded()) continue;
+          if (fields["event"] == "request") requests[fields["id"]] = fields;
+          if (fields["event"] == "refused") refused[fields["id"]] = fields;
+        }
+        return requests.size() == 2 && refused.size() == 1;
+      },
+      kAnswerSeconds));
+  const auto events = [&](const std::string& id) {
+    std::string names;
+    for (const auto& event : requests[id]["events"]) names += event["event"].get<std::string>() + " ";
+    return names;
+  };
+  CHECK(events("id-served") == "accepted dispatched dispatch_ended answered ");
+  CHECK(requests["id-served"]["events"][3]["status"] == kOk);
+  CHECK(events("id-left").starts_with("accepted dispatched client_left "));
+  CHECK(refused["id-served"]["reason"] == "X-Call-Id was used before");
+}
