--- a/bench/platform.cpp
+++ b/bench/platform.cpp
@@ -75,6 +75,7 @@
     const std::string id = std::to_string(id_) + "-" + std::to_string(++sent_);
     http::Writer(stream_.write_buffer())
         .request_line("PUT", "/api/00000003b4d60021/7f3a9c21e0b4d655")
+        .field("Host", "n0")
         .field("X-Call-Id", id)
         .field("X-Call-Class", "write")
         .field("Tier", "gold")
